--- /dev/null
+++ b/simhost/main.cpp
@@ -0,0 +1,422 @@
+// cometshift_simhost: hosts one Choice for each instance of the simulator and speaks its wire on standard input
+// and output. It only carries: every decoded field goes straight into a call, every action into a line. Names of
+// the wire end here. A defect in the input ends the process with one line on standard error.
+#include "choice.hpp"
+
+#include <simdjson.h>
+
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <memory>
+#include <optional>
+#include <unistd.h>
+
+using namespace cometshift;
+using simdjson::dom::element;
+using simdjson::dom::object;
+
+namespace {
+
+struct Defect : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// ---- actions to lines
+
+class Lines {
+  std::string out_;
+
+ public:
+  void raw(std::string_view s) { out_ += s; }
+  template <class N>
+  void number(N value) {
+    char digits[32];
+    out_.append(digits, std::to_chars(digits, digits + sizeof digits, value).ptr);
+  }
+  void hex(std::uint64_t value) {
+    for (int shift = 60; shift >= 0; shift -= 4) out_ += "0123456789abcdef"[(value >> shift) & 15];
+  }
+  void quoted(std::string_view s) {
+    out_ += '"';
+    for (const char c : s) {
+      if (c == '"' || c == '\\') (out_ += '\\') += c;
+      else out_ += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+    }
+    out_ += '"';
+  }
+  void flush() {
+    for (std::size_t done = 0; done < out_.size();) {
+      const ssize_t n = write(STDOUT_FILENO, out_.data() + done, out_.size() - done);
+      if (n < 0) throw Defect("standard output is closed");
+      done += static_cast<std::size_t>(n);
+    }
+    out_.clear();
+  }
+};
+
+class WireServer final : public Server {
+  Lines& lines_;
+  std::int64_t instance_;
+
+  void open(std::string_view name) {
+    lines_.raw("{\"");
+    lines_.raw(name);
+    lines_.raw("\":{\"server_id\":");
+    lines_.number(instance_);
+  }
+  void open(std::string_view name, OpId op) {
+    open(name);
+    lines_.raw(",\"msg_id\":\"");
+    lines_.hex(op.raw);
+    lines_.raw("\"");
+  }
+  template <class N>
+  void field(std::string_view name, N value) {
+    lines_.raw(",\"");
+    lines_.raw(name);
+    lines_.raw("\":");
+    if constexpr (std::is_same_v<N, bool>) lines_.raw(value ? "true" : "false");
+    else if constexpr (std::is_arithmetic_v<N>) lines_.number(value);
+    else lines_.quoted(value);
+  }
+  void close() { lines_.raw("}}\n"); }
+
+ public:
+  WireServer(Lines& lines, std::int64_t instance) : lines_(lines), instance_(instance) {}
+
+  void run(OpId op) override { open("DISPATCH", op), close(); }
+  void nack(OpId op, bool no_retry, Nanos stay_away) override {
+    open("OVERLOAD_REPLY", op);
+    if (no_retry) field("no_retry", true);
+    if (stay_away > 0) field("pause_ns", stay_away);
+    close();
+  }
+  void fail(OpId op) override { open("DROP_REQUEST", op), close(); }
+  void call(OpId op, Nanos time_out) override { open("CALL", op), field("timeout_ns", time_out), close(); }
+  void answer_without(OpId op) override { open("DO_WITHOUT", op), close(); }
+  void keep_key(OpId op, Nanos lifetime) override { open("RETAIN", op), field("lifetime_ns", lifetime), close(); }
+  void forget_key(OpId op) override { open("EVICT", op), close(); }
+  void reuse(OpId op) override { open("REUSE", op), close(); }
+  void halt(OpId op) override { open("YANK", op), close(); }
+  void health(bool good, bool from_store) override {
+    open("FITNESS"), field("enable", good), field("from_state", from_store), close();
+  }
+  void tell_callers(double value) override { open("SIGNAL"), field("value", value), close(); }
+  void idle_close(Nanos after) override { open("KEEPALIVE"), field("lifetime_ns", after), close(); }
+  void wake_at(Nanos at, WakeId name) override { open("SET_TIMER"), field("at_ns", at), field("name", name.raw), close(); }
+  void log(std::string_view words) override { open("WRITE_LOG"), field("words", words), close(); }
+  void panic(std::string_view words) { open("PANIC"), field("words", words), close(); }
+};
+
+// ---- lines to calls
+
+[[noreturn]] void bad(std::string_view what, std::string_view name) {
+  throw Defect(std::string(what) + " \"" + std::string(name) + "\"");
+}
+
+template <class T>
+std::optional<T> maybe(const object& o, std::string_view name) {
+  element at;
+  if (o[name].get(at) != simdjson::SUCCESS || at.is_null()) return std::nullopt;
+  if constexpr (std::is_same_v<T, double>) {
+    double value;
+    if (at.get(value) == simdjson::SUCCESS) return value;
+  } else {
+    T value;
+    if (at.get(value) == simdjson::SUCCESS) return value;
+  }
+  bad("wrong kind of value in field", name);
+}
+template <class T>
+T must(const object& o, std::string_view name) {
+  if (const std::optional<T> value = maybe<T>(o, name)) return *value;
+  bad("missing field", name);
+}
+OpId id_in(std::string_view hex, std::string_view name) {
+  std::uint64_t raw = 0;
+  const auto [end, error] = std::from_chars(hex.data(), hex.data() + hex.size(), raw, 16);
+  if (hex.size() != 16 || error != std::errc() || end != hex.data() + hex.size()) bad("not an id in field", name);
+  return OpId{raw};
+}
+OpId op_of(const object& o) { return id_in(must<std::string_view>(o, "msg_id"), "msg_id"); }
+// A span or a time that must not be negative.
+Nanos span_of(const object& o, std::string_view name) {
+  const Nanos value = maybe<std::int64_t>(o, name).value_or(0);
+  if (value < 0) bad("negative time in field", name);
+  return value;
+}
+Outcome outcome_of(const object& o) {
+  const auto status = must<std::string_view>(o, "status");
+  if (status == "OK") return Outcome::done;
+  if (status == "INTERNAL") return Outcome::failed;
+  if (status == "RESOURCE_EXHAUSTED") return Outcome::shed;
+  if (status == "DEADLINE_EXCEEDED") return Outcome::timed_out;
+  if (status == "UNAVAILABLE") return Outcome::unreachable;
+  if (status == "ABORTED") return Outcome::cut;
+  if (status == "CANCELLED") return Outcome::halted;
+  if (status == "TOO_LATE") return Outcome::moot;
+  bad("unknown outcome", status);
+}
+
+// The wire's words for the values that the module reads as texts, in ours.
+std::string our_word(std::string_view word) {
+  if (word == "idempotency_key") return "keyed";
+  if (word == "non_idempotent") return "non_retryable";
+  if (word == "read_like") return "retryable";
+  if (word == "min_rank") return "level";
+  if (word == "request") return "op";
+  if (word == "cpu_busy") return "cores_busy";
+  if (word == "runnable") return "on_cores";
+  if (word == "mem_used") return "memory_used";
+  if (word == "sockets") return "connections";
+  return std::string(word);
+}
+
+// Copies one value of the settings under its name of ours; what is absent stays out.
+void take(Given& given, const object& from, std::string_view name, std::string ours) {
+  element at;
+  if (from[name].get(at) != simdjson::SUCCESS) return;
+  if (bool flag; at.get(flag) == simdjson::SUCCESS) given[std::move(ours)] = flag ? 1.0 : 0.0;
+  else if (double value; at.get(value) == simdjson::SUCCESS) given[std::move(ours)] = value;
+  else if (std::string_view word; at.get(word) == simdjson::SUCCESS) given[std::move(ours)] = our_word(word);
+}
+void take_row(Given& given, const object& from, std::string_view name, const std::string& before, std::string_view after) {
+  simdjson::dom::array row;
+  if (from[name].get(row) != simdjson::SUCCESS) return;
+  std::size_t i = 0;
+  for (const element at : row) {
+    const std::string ours = before + std::to_string(i++) + std::string(after);
+    if (bool flag; at.get(flag) == simdjson::SUCCESS) given[ours] = flag ? 1.0 : 0.0;
+    else if (double value; at.get(value) == simdjson::SUCCESS) given[ours] = value;
+    else if (std::string_view word; at.get(word) == simdjson::SUCCESS) given[ours] = our_word(word);
+  }
+}
+Given given_by(const object& config) {
+  Given given;
+  take(given, config, "fleet_size", "fleet_size");
+  take(given, config, "value_by", "value_by");
+  take(given, config, "over_share_worth", "over_share_worth");
+  take(given, config, "period_ns", "period_ns");
+  if (object info; config["family_info"].get(info) == simdjson::SUCCESS) {
+    for (const auto& [wire, ours] : std::initializer_list<std::pair<const char*, const char*>>{
+             {"below", "below"}, {"callers", "callers"}, {"calls_out", "call_share"}, {"calls_over_ns", "calls_over_ns"},
+             {"cold", "cold"}, {"cpus", "cores"}, {"deep_checks", "deep_checks"}, {"fresh_for_ns", "fresh_for_ns"},
+             {"halt", "halt"}, {"heeded_ns", "heeded_ns"}, {"idle_ns", "idle_ns"}, {"key_kb", "key_kb"},
+             {"list_follows", "list_follows"}, {"mem_limit_kb", "memory_kb"}, {"run_factor", "run_factor"}, {"say", "say"},
+             {"stays_for_ns", "call_linger_ns"}, {"tells_gone", "tells_gone"}})
+      take(given, info, wire, ours);
+    take_row(given, info, "gauges", "gauge.", "");
+    take_row(given, info, "calls_by_class", "op_type.", ".may_call");
+    take_row(given, info, "class_skip_worth", "op_type.", ".without_share");
+  }
+  if (object rules; config["invariants"].get(rules) == simdjson::SUCCESS)
+    for (const auto& [wire, ours] : std::initializer_list<std::pair<const char*, const char*>>{
+             {"answer_slack_ns", "answer_slack_ns"}, {"cold_from", "cold_from"}, {"warm_after_ns", "warm_after_ns"},
+             {"drain_grace_ns", "drain_grace_ns"}, {"fall_multiple", "fall_multiple"}, {"fall_ns", "fall_ns"}})
+      take(given, rules, wire, ours);
+  if (object limits; config["limits"].get(limits) == simdjson::SUCCESS) {
+    take(given, limits, "retry_after", "stay_away_heeded");
+    take(given, limits, "max_retry_after_ns", "max_stay_away_ns");
+  }
+  if (object clients; config["clients"].get(clients) == simdjson::SUCCESS)
+    take(given, clients, "marks_retry", "marks_retry");
+  if (object prices; config["prices"].get(prices) == simdjson::SUCCESS)
+    for (const char* price : {"connection", "handshake", "late_fail", "origin", "waste"})
+      take(given, prices, price, std::string("price.") + price);
+  std::size_t i = 0;
+  if (simdjson::dom::array types; config["categories"].get(types) == simdjson::SUCCESS)
+    for (const element at : types) {
+      const object type = at.get_object();
+      const std::string before = "op_type." + std::to_string(i++) + ".";
+      for (const auto& [wire, ours] : std::initializer_list<std::pair<const char*, const char*>>{
+               {"deadline_ns", "op_timeout_ns"}, {"target_ns", "target_latency_ns"}, {"key_ttl_ns", "key_window_ns"},
+               {"importance", "importance"}, {"late_share", "late_share"}, {"aim_stretch", "target_stretch"},
+               {"effect", "repeats"}})
+        take(given, type, wire, before + ours);
+    }
+  i = 0;
+  if (simdjson::dom::array tenants; config["parties"].get(tenants) == simdjson::SUCCESS)
+    for (const element at : tenants) {
+      const object tenant = at.get_object();
+      const std::string before = "tenant." + std::to_string(i++) + ".";
+      take(given, tenant, "quota_rps", before + "quota");
+      take(given, tenant, "share", before + "share");
+    }
+  return given;
+}
+
+struct Instance {
+  WireServer server;
+  std::unique_ptr<Choice> choice;
+};
+
+class Host {
+  Lines lines_;
+  std::map<std::int64_t, Instance> instances_;
+  std::vector<double> gauges_;
+  Nanos now_ = 0;
+  std::int64_t round_ = 0;
+  bool in_batch_ = false;
+
+  template <class Step>
+  void guarded(Instance& instance, Step step) {
+    try {
+      step();
+    } catch (const Defect&) {
+      throw;
+    } catch (const simdjson::simdjson_error&) {
+      throw;
+    } catch (const std::exception& e) {
+      instance.server.panic(e.what());
+    }
+  }
+
+  void event(std::string_view name, const object& f) {
+    const std::int64_t number = must<std::int64_t>(f, "server_id");
+    if (name == "HELLO") {
+      const auto seed = must<std::uint64_t>(f, "entropy");
+      const Given given = given_by(must<object>(f, "config"));
+      instances_.erase(number);
+      Instance& made = instances_.try_emplace(number, Instance{WireServer(lines_, number), nullptr}).first->second;
+      guarded(made, [&] { made.choice = std::make_unique<Choice>(now_, seed, given, made.server); });
+      return;
+    }
+    const auto at = instances_.find(number);
+    if (at == instances_.end() || !at->second.choice) bad("event for an unknown instance in", name);
+    Choice& choice = *at->second.choice;
+    const auto hand = [&](auto step) { guarded(at->second, step); };
+    if (name == "REMINDER") {
+      const WakeId wake{must<std::uint64_t>(f, "name")};
+      gauges_.clear();
+      if (const auto row = maybe<simdjson::dom::array>(f, "feedback"))
+        for (const element gauge : *row) {
+          double value;
+          if (gauge.get(value) != simdjson::SUCCESS) bad("wrong kind of value in field", "feedback");
+          gauges_.push_back(value);
+        }
+      hand([&] { choice.woken(now_, wake, gauges_); });
+    } else if (name == "JOB_IN") {
+      const OpId id = op_of(f);
+      const auto type = must<std::uint64_t>(f, "profile");
+      const auto earlier = maybe_earlier(f);
+      const auto tenant = maybe<std::uint64_t>(f, "user_group").value_or(0);
+      const auto key = maybe<std::int64_t>(f, "partition_key").value_or(-1);
+      const auto caller = maybe<std::uint64_t>(f, "sender").value_or(0);
+      const Nanos patience = span_of(f, "patience_left_ns"), waited = span_of(f, "waited_ns"), hint = span_of(f, "effort_ns");
+      const double kb = maybe<double>(f, "kb").value_or(0), rank = maybe<double>(f, "prio").value_or(0);
+      const bool again = maybe<bool>(f, "again_by_client").value_or(false);
+      hand([&] {
+        choice.op_read(now_, id, OpTypeId{static_cast<std::uint32_t>(type)}, TenantId{static_cast<std::uint32_t>(tenant)},
+                       KeyId{key}, CallerId{caller}, patience, waited, hint, kb, rank, again, earlier);
+      });
+    } else if (name == "ENDED") {
+      const OpId id = op_of(f);
+      const Nanos lag = span_of(f, "lag_ns");
+      const Outcome outcome = outcome_of(f);
+      hand([&] { choice.run_ended(now_, id, outcome, lag); });
+    } else if (name == "STALLED_ON_CALL") {
+      const OpId id = op_of(f);
+      hand([&] { choice.call_wanted(now_, id); });
+    } else if (name == "CALL_RESULT") {
+      const OpId id = op_of(f);
+      const Nanos lag = span_of(f, "lag_ns");
+      const Outcome outcome = outcome_of(f);
+      hand([&] { choice.call_ended(now_, id, outcome, lag); });
+    } else if (name == "EXPIRED") {
+      const OpId id = op_of(f);
+      hand([&] { choice.op_gone(now_, id); });
+    } else if (name == "LAME_DUCK") {
+      must<std::int64_t>(f, "patience_left_ns");
+      const Nanos left = span_of(f, "patience_left_ns");
+      hand([&] { choice.drain(now_, left); });
+    } else if (name == "DESTROY") {
+      instances_.erase(at);
+    } else {
+      bad("unknown event", name);
+    }
+  }
+
+  static OpId maybe_earlier(const object& f) {
+    element at;
+    if (f["forerunner"].get(at) != simdjson::SUCCESS || at.is_null()) return no_op;
+    std::string_view hex;
+    if (at.get(hex) == simdjson::SUCCESS) return id_in(hex, "forerunner");
+    std::int64_t zero;
+    if (at.get(zero) == simdjson::SUCCESS && zero == 0) return no_op;
+    bad("not an id in field", "forerunner");
+  }
+
+ public:
+  void line(const element& message) {
+    object outer;
+    if (message.get(outer) != simdjson::SUCCESS || outer.size() != 1) throw Defect("a message is not an object with one key");
+    const auto field = *outer.begin();
+    object f;
+    if (field.value.get(f) != simdjson::SUCCESS) bad("no object under", field.key);
+    if (field.key == "ROUND") {
+      if (in_batch_) throw Defect("a batch begins within another");
+      now_ = must<std::int64_t>(f, "at_time_ns");
+      round_ = must<std::int64_t>(f, "round");
+      in_batch_ = true;
+    } else if (!in_batch_) {
+      bad("outside of a batch:", field.key);
+    } else if (field.key == "EOF_BATCH") {
+      lines_.raw("{\"DONE\":{\"round\":");
+      lines_.number(round_);
+      lines_.raw("}}\n");
+      lines_.flush();
+      in_batch_ = false;
+    } else {
+      event(field.key, f);
+    }
+  }
+  bool in_batch() const { return in_batch_; }
+};
+
+} // namespace
+
+int main() {
+  constexpr std::size_t chunk = 1 << 20;
+  constexpr std::size_t padding = simdjson::SIMDJSON_PADDING;
+  simdjson::dom::parser parser;
+  Host host;
+  std::vector<char> buffer(chunk + padding);
+  std::size_t from = 0, filled = 0, line = 0;
+  try {
+    for (;;) {
+      if (buffer.size() - padding - filled < chunk / 2) {
+        if (from > 0) {
+          std::memmove(buffer.data(), buffer.data() + from, filled - from);
+          filled -= from;
+          from = 0;
+        }
+        if (buffer.size() - padding - filled < chunk / 2) buffer.resize(buffer.size() * 2);
+      }
+      const ssize_t n = read(STDIN_FILENO, buffer.data() + filled, buffer.size() - padding - filled);
+      if (n < 0) throw Defect("standard input can't be read");
+      if (n == 0) {
+        if (from < filled || host.in_batch()) throw Defect("the input ends within a batch");
+        return 0;
+      }
+      std::size_t look = filled;
+      filled += static_cast<std::size_t>(n);
+      while (const void* at = std::memchr(buffer.data() + look, '\n', filled - look)) {
+        const std::size_t end = static_cast<std::size_t>(static_cast<const char*>(at) - buffer.data());
+        ++line;
+        if (std::string_view(buffer.data() + from, end - from).find_first_not_of(" \t\r") != std::string_view::npos) {
+          element message;
+          if (parser.parse(buffer.data() + from, end - from, false).get(message) != simdjson::SUCCESS)
+            throw Defect("not the wire's JSON");
+          host.line(message);
+        }
+        from = look = end + 1;
+      }
+      if (from == filled) from = filled = 0;
+    }
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "cometshift_simhost: line %zu: %s\n", line, e.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,595 @@
+// cometshift's decisions, all of them. One `Choice` serves one server: call `op_read` and the others below as
+// things happen; it acts at once through the `Server` that it was built with. Both are declared in choice.hpp,
+// what is remembered of an op in state.hpp.
+//
+// The design (docs/design.md) decides the ordinary path: health is stored and turns bad at the drain notice,
+// ops are served through the shutdown delay, and a cap bounds the running ops. Beside it stand six mechanisms:
+//   1. hold: the order, and which ops are nacked, by importance that can still be won per expected work
+//   2. guard: memory and the crowd on the cores, by warmth; every op answered by its due time
+//   3. keys: repeats of keyed ops are known and never run twice; reads may share answers
+//   4. calls: a budget, time-outs, a breaker, answers without the call
+//   5. callers: the value they are told, advice to stay away, and not to retry elsewhere
+//   6. stall watch: progress is asked for before the gauge of the cores is believed
+#include "choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace cometshift {
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos second = 1000 * ms;
+
+constexpr Nanos tick = 20 * ms;            // between looks at dues and gauges: a third of the least slack asked for
+constexpr Nanos gauge_span = 500 * ms;     // what the gauge of the cores averages over
+constexpr double free_below = 0.9;         // part of the cores busy: under it they read free, noise allowed for
+constexpr double cap_growth = 1.25;        // a tick: doubles within four, fast against a gauge of half a second
+constexpr double cap_cut = 0.85;           // a cut: undoes about one step of growth
+constexpr Nanos cut_every = 500 * ms;      // between cuts: as long as the gauge takes to show the last
+constexpr double crowded_latency = 2;      // times the base: the design's figure
+constexpr double crowd_part = 0.85;        // of the survivable crowd: room for what resumes unasked
+constexpr double memory_part = 0.95;       // of the memory: room for ops read in the same instant
+constexpr double calls_part = 0.9;         // of the share of calls: room for the time a reply takes
+constexpr float long_memory = 400;         // ops until a histogram is halved: some tens of seconds of work
+constexpr float short_memory = 24;         // the same for what is to show the last seconds
+constexpr float enough = 8;                // ops in a histogram before it is believed
+constexpr double planned_sureness = 0.7;   // part of runs that take no longer than planned for
+constexpr double last_sureness = 0.15;     // under this chance of being in time an op is not begun
+constexpr double unknown_run = 0.25;       // of the target latency: a run's length before any was seen
+constexpr int failures_to_open = 5;        // calls failing in a row: as the operators' staff know it
+constexpr Nanos open_first = 250 * ms;     // the breaker's first rest, then doubled: some round trips
+constexpr Nanos open_most = 4 * second;    // its longest: a dependency comes back within some seconds
+constexpr Nanos count_span = 500 * ms;     // over which nacks are counted for what callers are told
+constexpr double rate_keep = 0.8;          // part of the rate before that a count leaves: about two seconds
+constexpr double openness_step = 0.05;     // raised a count without nacks: back within ten seconds
+constexpr double openness_cut = 0.8;       // lowered a count with nacks
+constexpr double openness_least = 0.1;     // never shut: some traffic must tell when it may open again
+constexpr double nacks_felt = 0.05;        // part of those read: fewer nacks are chance
+constexpr double tokens_per_cap = 3;       // ops out here for each allowed to run, at full openness
+
+template <class T>
+void drop_from(std::vector<T*>& list, T* one) {
+  list.erase(std::remove(list.begin(), list.end(), one), list.end());
+}
+
+} // namespace
+
+Choice::Choice(Nanos now, std::uint64_t seed, const Given& given, Server& server)
+    : server_(server), chance_(seed), now_(now), born_(now),
+      calls_(static_cast<Nanos>(number(given, "calls_over_ns", 5e9)), now), call_time_(long_memory) {
+  cores_ = needed(given, "cores", 1);
+  cap_ = cores_;
+  fall_multiple_ = needed(given, "fall_multiple", 1);
+  cold_from_ = std::clamp(number(given, "cold_from", 1), 0.0, 1.0);
+  warm_after_ = static_cast<Nanos>(number(given, "warm_after_ns", 0));
+  born_cold_ = number(given, "cold", 0) != 0;
+  memory_limit_ = needed(given, "memory_kb", 1);
+  run_factor_ = std::max(1.0, number(given, "run_factor", 1));
+  key_kb_ = number(given, "key_kb", 0);
+  fresh_for_ = static_cast<Nanos>(number(given, "fresh_for_ns", 0));
+  call_share_ = number(given, "call_share", 0);
+  linger_ = static_cast<Nanos>(number(given, "call_linger_ns", 0));
+  const std::string halt = text(given, "halt", "none");
+  halt_ = halt == "pause" ? Halt::pause : halt == "drop" ? Halt::drop : Halt::none;
+  const std::string say = text(given, "say", "none");
+  say_ = say == "level" ? Say::level : say == "tokens" ? Say::tokens : say == "bias" ? Say::bias : Say::nothing;
+  callers_ = std::max(1.0, number(given, "callers", 1));
+  if (number(given, "stay_away_heeded", 0) != 0)
+    max_stay_away_ = static_cast<Nanos>(number(given, "max_stay_away_ns", 0));
+  over_share_worth_ = number(given, "over_share_worth", 1);
+  by_work_ = text(given, "value_by", "op") == "work";
+  grace_ = static_cast<Nanos>(needed(given, "drain_grace_ns", 0));
+  for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g)
+    if (text(given, "gauge." + std::to_string(g), "") == "cores_busy") busy_gauge_ = g;
+  for (int t = 0; given.contains("op_type." + std::to_string(t) + ".op_timeout_ns"); ++t) {
+    const std::string at = "op_type." + std::to_string(t) + ".";
+    OpType type{.run_time = Histogram(long_memory), .core_time = Histogram(long_memory), .recent = Histogram(short_memory)};
+    type.op_timeout = static_cast<Nanos>(needed(given, at + "op_timeout_ns", 1));
+    type.target_latency = static_cast<Nanos>(needed(given, at + "target_latency_ns", 1));
+    type.key_window = static_cast<Nanos>(number(given, at + "key_window_ns", 0));
+    type.importance = number(given, at + "importance", 1);
+    type.late_share = number(given, at + "late_share", 0);
+    type.without_share = number(given, at + "without_share", 0);
+    type.target_stretch = number(given, at + "target_stretch", 0);
+    type.may_call = number(given, at + "may_call", 0) != 0;
+    const std::string repeats = text(given, at + "repeats", "retryable");
+    type.repeats = repeats == "keyed"           ? Repeats::keyed
+                   : repeats == "non_retryable" ? Repeats::non_retryable
+                                                : Repeats::retryable;
+    types_.push_back(type);
+  }
+  if (types_.empty()) throw std::invalid_argument("setting op_type.0.op_timeout_ns is missing");
+  const double fleet = std::max(1.0, number(given, "fleet_size", 1));
+  for (int t = 0; given.contains("tenant." + std::to_string(t) + ".quota"); ++t)
+    tenants_.push_back({.quota = number(given, "tenant." + std::to_string(t) + ".quota", 0) / fleet});
+  ended_at_ = counted_from_ = now;
+  server_.health(true, true);
+  server_.wake_at(now + tick, WakeId{1});
+}
+
+// ---- the cap
+
+double Choice::survivable(Nanos now) const {
+  double warmth = 1;
+  if (born_cold_ && warm_after_ > 0)
+    warmth = std::min(1.0, cold_from_ + (1 - cold_from_) * static_cast<double>(now - born_) / static_cast<double>(warm_after_));
+  return std::max(cores_, std::floor(crowd_part * cores_ * (1 + (fall_multiple_ - 1) * warmth)));
+}
+
+// Growth wins over the cut. The gauge is believed only where ops were held for all of its span and runs get
+// on: against cores that read free because nothing moves (a hang), when more ops would only crowd them.
+void Choice::steer_cap(Nanos now) {
+  const bool waiting = !held_.empty() && now - held_since_ >= gauge_span;
+  const bool moving = now - ended_at_ < gauge_span;
+  if (waiting && moving && busy_ < free_below && on_core_ >= static_cast<int>(cap_)) {
+    cap_ *= cap_growth;
+  } else if (busy_ >= free_below && now - cut_at_ >= cut_every) {
+    for (const OpType& type : types_) {
+      if (type.base == 0 || type.recent.total() < enough) continue;
+      if (static_cast<double>(type.recent.quantile(0.5)) < crowded_latency * static_cast<double>(type.base)) continue;
+      cap_ *= cap_cut;
+      cut_at_ = now;
+      break;
+    }
+  }
+  cap_ = std::clamp(cap_, cores_, survivable(now));
+}
+
+// ---- the hold
+
+Nanos Choice::core_time(const Op& op) const {
+  const OpType& type = types_[op.type.raw];
+  if (type.core_time.total() < enough) return static_cast<Nanos>(unknown_run * static_cast<double>(type.target_latency));
+  return static_cast<Nanos>(type.core_time.mean());
+}
+
+Nanos Choice::win_by(const Op& op) const { return std::min(op.first_seen + types_[op.type.raw].target_latency, op.due); }
+
+bool Choice::winnable(const Op& op, Nanos begin, double sureness) const {
+  const OpType& type = types_[op.type.raw];
+  const Nanos run = type.run_time.total() < enough ? core_time(op) : type.run_time.quantile(sureness);
+  return begin + run <= win_by(op);
+}
+
+double Choice::density(const Op& op) const {
+  double worth = op.worth;
+  if (op.tenant.raw < tenants_.size()) {
+    const Tenant& tenant = tenants_[op.tenant.raw];
+    const double within = tenant.seen > tenant.quota ? tenant.quota / tenant.seen : 1;
+    worth *= within + (1 - within) * over_share_worth_;
+  }
+  return by_work_ ? worth : worth / static_cast<double>(std::max<Nanos>(1, core_time(op)));
+}
+
+// Puts the hold in the order of latest starts and walks it: where an op would start too late to be in time,
+// the one with the least worth for its work of those so far is nacked at once, so that its caller can go
+// elsewhere. Guards against a line in which all are late; harms if runs are taken for longer than they are.
+void Choice::plan(Nanos now) {
+  std::stable_sort(held_.begin(), held_.end(), [this](const Op* a, const Op* b) {
+    const auto latest = [this](const Op* o) { return win_by(*o) - types_[o->type.raw].run_time.quantile(planned_sureness); };
+    return latest(a) < latest(b);
+  });
+  double ahead = std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
+  double line = 0;
+  std::vector<Op*> out;
+  std::vector<Op*> kept;
+  for (Op* op : held_) {
+    if (!winnable(*op, now, last_sureness) && types_[op->type.raw].late_share == 0) {
+      out.push_back(op);
+      continue;
+    }
+    kept.push_back(op);
+    const double work = static_cast<double>(core_time(*op));
+    const Nanos begin = now + static_cast<Nanos>((ahead * work + line) / cap_);
+    line += work;
+    if (begin == now || winnable(*op, begin, planned_sureness)) continue;
+    const auto worst = std::min_element(kept.begin(), kept.end(), [this](const Op* a, const Op* b) { return density(*a) < density(*b); });
+    line -= static_cast<double>(core_time(**worst));
+    out.push_back(*worst);
+    kept.erase(worst);
+  }
+  for (Op* op : out) turn_away(now, *op);
+}
+
+bool Choice::may_start(Nanos now, const Op& op) const {
+  if (on_core_ >= static_cast<int>(cap_) || running_ >= static_cast<int>(survivable(now))) return false;
+  if (memory_with(op.held_kb * (run_factor_ - 1)) > memory_part * memory_limit_) return false;
+  const OpType& type = types_[op.type.raw];
+  return !type.may_call || type.without_share > 0 || breaker_lets(now);
+}
+
+void Choice::settle(Nanos now) {
+  if (held_.empty()) return;
+  plan(now);
+  for (std::size_t i = 0; i < held_.size();) {
+    Op& op = *held_[i];
+    if (may_start(now, op)) {
+      start(now, op);
+      i = 0;
+    } else {
+      ++i;
+    }
+  }
+  if (held_.empty()) held_since_ = 0;
+  else if (held_since_ == 0) held_since_ = now;
+}
+
+void Choice::start(Nanos now, Op& op) {
+  drop_from(held_, &op);
+  memory_kb_ += op.held_kb * (run_factor_ - 1);
+  ++running_;
+  op.ran = true;
+  op.started = now;
+  join_core(now, op);
+  op.when_ended = [this](Op& ended, Outcome outcome, Nanos lag) { after_run(now_, ended, outcome, lag); };
+  server_.run(op.id);
+  const std::vector<Op*> line = held_;
+  for (Op* other : line)
+    if (other->earlier == op.id) reuse_earlier(now, *other);
+}
+
+void Choice::join_core(Nanos now, Op& op) {
+  op.stage = Stage::on_core;
+  op.on_core_since = now;
+  ++on_core_;
+}
+
+void Choice::leave_core(Nanos now, Op& op) {
+  if (op.stage != Stage::on_core) return;
+  op.on_core += now - op.on_core_since;
+  --on_core_;
+  ended_at_ = now;
+}
+
+void Choice::after_run(Nanos now, Op& op, Outcome outcome, Nanos lag) {
+  leave_core(now, op);
+  if (op.stage == Stage::calling) calls_.change(now, -1);
+  drop_from(at_call_, &op);
+  --running_;
+  memory_kb_ -= op.held_kb * (run_factor_ - 1);
+  if (outcome == Outcome::done) {
+    OpType& type = types_[op.type.raw];
+    type.run_time.note(lag);
+    type.core_time.note(op.on_core);
+    type.recent.note(op.on_core);
+    const Nanos usual = type.recent.quantile(0.5);
+    if (type.recent.total() >= enough) type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / 256);
+  }
+  if (outcome == Outcome::halted && !op.answered) { // fell back into the hold
+    op.stage = Stage::held;
+    held_.push_back(&op);
+    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(now, op);
+    return;
+  }
+  forget(op);
+}
+
+// ---- final answers
+
+void Choice::forget(Op& op) {
+  drop_from(held_, &op);
+  drop_from(at_call_, &op);
+  memory_kb_ -= op.held_kb;
+  ops_.erase(op.id);
+}
+
+// Nacks a held op that never ran; what did run is failed, since a nack would promise that it did not.
+void Choice::turn_away(Nanos now, Op& op) {
+  if (op.ran) return give_up(now, op);
+  ++nacked_lately_;
+  if (op.kept) {
+    server_.forget_key(op.id);
+    keys_.erase(op.id);
+  }
+  server_.nack(op.id, !winnable(op, now, last_sureness), stay_away(now));
+  forget(op);
+}
+
+// Fails an op wherever it stands. One on the cores is halted where that can be done, else it runs on unheard.
+void Choice::give_up(Nanos now, Op& op) {
+  server_.fail(op.id);
+  op.answered = true;
+  if (op.stage == Stage::held || op.stage == Stage::reusing || op.stage == Stage::paused) {
+    if (op.stage == Stage::paused) {
+      --running_;
+      memory_kb_ -= op.held_kb * (run_factor_ - 1);
+    }
+    forget(op);
+  } else if (op.stage == Stage::on_core && halt_ != Halt::none) {
+    server_.halt(op.id);
+  }
+  (void)now;
+}
+
+// Guards against losing an op: whatever holds it up, it is answered at its due time. A run that hangs, a call
+// that doesn't end and a reuse that waits are all met here.
+void Choice::overdue(Nanos now) {
+  std::vector<Op*> late;
+  for (auto& [id, op] : ops_)
+    if (!op.answered && op.due <= now + 2 * tick) late.push_back(&op);
+  for (Op* op : late) {
+    if (op->stage == Stage::held && !op->ran && op->earlier == no_op) turn_away(now, *op);
+    else give_up(now, *op);
+  }
+}
+
+// ---- memory and keys
+
+double Choice::memory_with(double kb) const { return memory_kb_ + kb + key_kb_ * static_cast<double>(keys_.size()); }
+
+// Keeps the entry to the end of the window, counted from the arrival at the machine. False if memory lacks.
+bool Choice::keep(Nanos now, Op& op) {
+  const OpType& type = types_[op.type.raw];
+  const Nanos life = op.arrived + type.key_window - now;
+  if (life <= 0) return true;
+  if (memory_with(key_kb_) > memory_part * memory_limit_) return false;
+  keys_.erase(op.earlier);
+  keys_[op.id] = now + life;
+  op.kept = true;
+  server_.keep_key(op.id, life);
+  return true;
+}
+
+// True if the op needs no run of its own: what it repeats runs here or has run. A keyed op whose first try is
+// still held takes its place; that try's caller has given it up, as tries of one request follow each other.
+bool Choice::reuse_earlier(Nanos now, Op& op) {
+  const auto first = ops_.find(op.earlier);
+  if (first != ops_.end() && first->second.stage == Stage::held && !first->second.ran) {
+    if (types_[op.type.raw].repeats == Repeats::retryable) return false;
+    op.first_seen = std::min(op.first_seen, first->second.first_seen);
+    turn_away(now, first->second);
+    op.earlier = no_op;
+    return false;
+  }
+  drop_from(held_, &op);
+  op.stage = Stage::reusing;
+  op.when_ended = [this](Op& ended, Outcome, Nanos) { forget(ended); };
+  server_.reuse(op.id);
+  return true;
+}
+
+// ---- calls
+
+bool Choice::breaker_lets(Nanos now) const {
+  if (failures_in_row_ < failures_to_open) return true;
+  return now >= open_until_ && !trial_out_;
+}
+
+// Guards what lies below: the mean of the calls in hand, those given up too, would stay within this server's
+// share even if all of them stayed for as long as they may.
+bool Choice::call_fits(Nanos, Nanos time_out) const {
+  if (call_share_ <= 0) return true;
+  return calls_.mean_with(calls_.count() + 1, time_out + linger_) <= calls_part * call_share_;
+}
+
+void Choice::at_call(Nanos now, Op& op) {
+  op.stage = Stage::at_call;
+  at_call_.push_back(&op);
+  place_calls(now);
+}
+
+// Lets parked ops call, in the order of coming; those that may not call yet go on without it where that is
+// worth something, or wait for as long as they can still be in time.
+void Choice::place_calls(Nanos now) {
+  const std::vector<Op*> parked = at_call_;
+  for (Op* op : parked) {
+    if (op->answered) continue;
+    const OpType& type = types_[op->type.raw];
+    const Nanos until = std::max(win_by(*op) - core_time(*op) / 2, now + 2 * tick);
+    const Nanos time_out = std::min(type.without_share > 0 ? until : op->due, op->due) - now;
+    if (!op->call_may_have_run && breaker_lets(now) && call_fits(now, time_out) && time_out > 0) {
+      drop_from(at_call_, op);
+      op->stage = Stage::calling;
+      op->called_at = now;
+      calls_.change(now, 1);
+      if (failures_in_row_ >= failures_to_open) trial_out_ = true;
+      op->when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
+      server_.call(op->id, time_out);
+    } else if (type.without_share > 0) {
+      drop_from(at_call_, op);
+      join_core(now, *op);
+      server_.answer_without(op->id);
+    } else if (op->call_may_have_run) {
+      give_up(now, *op);
+    }
+  }
+}
+
+void Choice::note_call(Nanos now, Outcome outcome, Nanos lag) {
+  if (outcome == Outcome::done) {
+    call_time_.note(lag);
+    failures_in_row_ = 0;
+    open_for_ = 0;
+    trial_out_ = false;
+    return;
+  }
+  ++failures_in_row_;
+  if (failures_in_row_ < failures_to_open) return;
+  if (open_for_ == 0 || trial_out_) {
+    open_for_ = std::clamp(2 * open_for_, open_first, open_most);
+    open_until_ = now + open_for_ + static_cast<Nanos>(chance_.unit() * static_cast<double>(open_for_) / 2);
+  }
+  trial_out_ = false;
+}
+
+void Choice::after_call(Nanos now, Op& op, Outcome outcome) {
+  if (outcome == Outcome::timed_out) lingering_.push_back(now + linger_);
+  else calls_.change(now, -1);
+  if (outcome == Outcome::done) return join_core(now, op);
+  if (types_[op.type.raw].repeats != Repeats::retryable && !proves_not_run(outcome)) op.call_may_have_run = true;
+  if (op.answered) {
+    op.stage = Stage::at_call;
+    return;
+  }
+  at_call(now, op);
+}
+
+// ---- what callers are told
+
+Nanos Choice::stay_away(Nanos) const {
+  double line = 0;
+  for (const Op* op : held_) line += static_cast<double>(core_time(*op));
+  return std::min(max_stay_away_, static_cast<Nanos>(line / cap_));
+}
+
+void Choice::tell(Nanos now) {
+  if (now - counted_from_ >= count_span) {
+    const double span = static_cast<double>(now - counted_from_) / static_cast<double>(second);
+    const bool crowded = nacked_lately_ > nacks_felt * read_lately_;
+    openness_ = crowded ? std::max(openness_least, openness_ * openness_cut) : std::min(1.0, openness_ + openness_step);
+    read_lately_ = nacked_lately_ = 0;
+    counted_from_ = now;
+    for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, span / 0.5);
+  }
+  double value = 0;
+  const double open = drained_at_ >= 0 ? 0 : openness_;
+  switch (say_) {
+  case Say::nothing: return;
+  case Say::level: value = 1 - open; break;
+  case Say::bias: value = open; break;
+  case Say::tokens: value = open * tokens_per_cap * cap_ / callers_; break;
+  }
+  if (std::abs(value - told_) < 0.01) return;
+  told_ = value;
+  server_.tell_callers(value);
+}
+
+// ---- what happens
+
+void Choice::op_read(Nanos now, OpId id, OpTypeId type_id, TenantId tenant, KeyId key, CallerId caller, Nanos patience,
+                     Nanos waited, Nanos hint, double held_kb, double rank, bool again, OpId earlier) {
+  now_ = now;
+  if (type_id.raw >= types_.size()) throw std::invalid_argument("an op of an unknown op type");
+  OpType& type = types_[type_id.raw];
+  Op& op = ops_[id];
+  op.id = id;
+  op.type = type_id;
+  op.tenant = tenant;
+  op.key = key;
+  op.caller = caller;
+  op.earlier = earlier;
+  op.arrived = now - waited;
+  op.hint = hint;
+  op.held_kb = held_kb;
+  op.rank = rank;
+  op.again = again;
+  op.worth = type.importance;
+  op.due = patience > 0 ? now + patience : std::max(now, op.arrived + type.op_timeout);
+  op.first_seen = op.arrived;
+  if (patience > 0) { // a later try has less left than others: that tells when the first began
+    const Nanos left = patience + waited;
+    type.longest_patience = std::max(type.longest_patience, left);
+    if (left < type.longest_patience - type.longest_patience / 16) op.first_seen = op.arrived + left - type.op_timeout;
+  }
+  if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
+  memory_kb_ += held_kb;
+  ++read_lately_;
+  if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) / 0.5;
+
+  if (earlier != no_op && reuse_earlier(now, op)) return;
+  if (drained_at_ >= 0 && (now > serve_until_ || op.arrived > drained_at_ + grace_)) return turn_away(now, op);
+  if (memory_with(0) > memory_part * memory_limit_) return turn_away(now, op);
+  const bool keyed = type.repeats == Repeats::keyed;
+  const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && key != no_key;
+  if (keyed && !keep(now, op)) return turn_away(now, op);
+  if (shared && memory_with(key_kb_) < memory_limit_ / 2) {
+    keys_[id] = op.due + fresh_for_;
+    op.kept = true;
+    server_.keep_key(id, op.due + fresh_for_ - now);
+  }
+  held_.push_back(&op);
+  settle(now);
+}
+
+void Choice::op_gone(Nanos now, OpId id) {
+  now_ = now;
+  const auto at = ops_.find(id);
+  if (at == ops_.end()) return;
+  Op& op = at->second;
+  if (op.kept && !op.ran) {
+    server_.forget_key(id);
+    keys_.erase(id);
+  }
+  const bool answered = op.answered;
+  op.answered = true;
+  if (op.stage == Stage::held || op.stage == Stage::reusing || op.stage == Stage::paused) {
+    if (op.stage == Stage::paused) {
+      --running_;
+      memory_kb_ -= op.held_kb * (run_factor_ - 1);
+    }
+    forget(op);
+  } else if (op.stage == Stage::on_core && halt_ != Halt::none && !answered) {
+    server_.halt(id);
+  }
+  settle(now);
+}
+
+void Choice::run_ended(Nanos now, OpId id, Outcome outcome, Nanos lag) {
+  now_ = now;
+  const auto at = ops_.find(id);
+  if (at == ops_.end() || !at->second.when_ended) return;
+  const Op::Next next = std::move(at->second.when_ended);
+  next(at->second, outcome, lag);
+  place_calls(now);
+  settle(now);
+}
+
+void Choice::call_wanted(Nanos now, OpId id) {
+  now_ = now;
+  const auto at = ops_.find(id);
+  if (at == ops_.end()) return;
+  leave_core(now, at->second);
+  if (at->second.answered) at->second.stage = Stage::at_call;
+  else at_call(now, at->second);
+  settle(now);
+}
+
+void Choice::call_ended(Nanos now, OpId id, Outcome outcome, Nanos lag) {
+  now_ = now;
+  note_call(now, outcome, lag);
+  const auto at = ops_.find(id);
+  if (at == ops_.end() || at->second.stage != Stage::calling) return;
+  const Op::Next next = std::move(at->second.when_called);
+  next(at->second, outcome, lag);
+  place_calls(now);
+  settle(now);
+}
+
+void Choice::woken(Nanos now, WakeId, std::span<const double> gauges) {
+  now_ = now;
+  if (busy_gauge_ >= 0 && static_cast<std::size_t>(busy_gauge_) < gauges.size()) busy_ = gauges[busy_gauge_];
+  calls_.advance(now);
+  std::erase_if(lingering_, [&](Nanos end) {
+    if (end > now) return false;
+    calls_.change(now, -1);
+    return true;
+  });
+  std::erase_if(keys_, [&](const auto& entry) { return entry.second <= now; });
+  overdue(now);
+  steer_cap(now);
+  place_calls(now);
+  settle(now);
+  tell(now);
+  server_.wake_at(now + tick, WakeId{1});
+}
+
+// The stored health turns bad at once. Ops are served for a shutdown delay that ends by the grace and early
+// enough for a run to end before the kill; all that was read is answered before it.
+void Choice::drain(Nanos now, Nanos until_kill) {
+  now_ = now;
+  if (drained_at_ >= 0) return;
+  drained_at_ = now;
+  server_.health(false, true);
+  answer_by_ = now + until_kill - 2 * tick;
+  Nanos run = 0;
+  for (const OpType& type : types_) run = std::max(run, type.run_time.quantile(planned_sureness));
+  serve_until_ = std::min(now + grace_, answer_by_ - run);
+  for (auto& [id, op] : ops_) op.due = std::min(op.due, answer_by_);
+  settle(now);
+  tell(now);
+}
+
+} // namespace cometshift
--- /dev/null
+++ b/src/choice.hpp
@@ -0,0 +1,155 @@
+// The interface of the decisions. A `Choice`, one for each server, is told what happens by the calls of its
+// public part and acts through the `Server` that it was given. Times are those of the caller's clock.
+#pragma once
+
+#include "histogram.hpp"
+#include "ids.hpp"
+#include "pcg.hpp"
+#include "state.hpp"
+
+#include <map>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace cometshift {
+
+// What a server can be told to do.
+class Server {
+ public:
+  virtual ~Server() = default;
+  virtual void run(OpId op) = 0; // start a held op, or resume a paused one
+  virtual void nack(OpId op, bool no_retry, Nanos stay_away) = 0;
+  virtual void fail(OpId op) = 0; // a final answer that promises nothing
+  virtual void call(OpId op, Nanos time_out) = 0;
+  virtual void answer_without(OpId op) = 0; // go on without the call
+  virtual void keep_key(OpId op, Nanos lifetime) = 0;
+  virtual void forget_key(OpId op) = 0;
+  virtual void reuse(OpId op) = 0; // answer with the result of the op that it repeats
+  virtual void halt(OpId op) = 0;
+  virtual void health(bool good, bool from_store) = 0;
+  virtual void tell_callers(double value) = 0;
+  virtual void idle_close(Nanos after) = 0; // 0: as the site has it
+  virtual void wake_at(Nanos at, WakeId name) = 0;
+  virtual void log(std::string_view words) = 0;
+};
+
+class Choice {
+ public:
+  // Throws std::invalid_argument with the name of a setting that is missing or senseless.
+  Choice(Nanos now, std::uint64_t seed, const Given& given, Server& server);
+  Choice(const Choice&) = delete;
+  Choice& operator=(const Choice&) = delete;
+
+  // An op has been read. Absent: 0 for spans, hint and `earlier`, `no_key` for the key.
+  void op_read(Nanos now, OpId id, OpTypeId type, TenantId tenant, KeyId key, CallerId caller, Nanos patience,
+               Nanos waited, Nanos hint, double held_kb, double rank, bool again, OpId earlier);
+  void op_gone(Nanos now, OpId id); // nobody waits for its answer any more
+  void run_ended(Nanos now, OpId id, Outcome outcome, Nanos lag);
+  void call_wanted(Nanos now, OpId id);
+  void call_ended(Nanos now, OpId id, Outcome outcome, Nanos lag);
+  void woken(Nanos now, WakeId name, std::span<const double> gauges);
+  void drain(Nanos now, Nanos until_kill);
+
+ private:
+  struct Tenant {
+    double quota = 0; // ops a second, here
+    double seen = 0;  // ops a second of late, here
+  };
+
+  // The cap on running ops.
+  void steer_cap(Nanos now);
+  double survivable(Nanos now) const;
+  // The hold.
+  Nanos core_time(const Op& op) const;
+  Nanos win_by(const Op& op) const;
+  bool winnable(const Op& op, Nanos start, double sureness) const;
+  double density(const Op& op) const;
+  void plan(Nanos now);
+  void settle(Nanos now);
+  bool may_start(Nanos now, const Op& op) const;
+  void start(Nanos now, Op& op);
+  void after_run(Nanos now, Op& op, Outcome outcome, Nanos lag);
+  // Final answers.
+  void turn_away(Nanos now, Op& op);
+  void give_up(Nanos now, Op& op);
+  void overdue(Nanos now);
+  void forget(Op& op);
+  // Memory and keys.
+  double memory_with(double kb) const;
+  bool keep(Nanos now, Op& op);
+  bool reuse_earlier(Nanos now, Op& op);
+  // Calls.
+  void at_call(Nanos now, Op& op);
+  void place_calls(Nanos now);
+  void after_call(Nanos now, Op& op, Outcome outcome);
+  bool call_fits(Nanos now, Nanos time_out) const;
+  bool breaker_lets(Nanos now) const;
+  void note_call(Nanos now, Outcome outcome, Nanos lag);
+  void leave_core(Nanos now, Op& op);
+  void join_core(Nanos now, Op& op);
+  // What callers are told.
+  void tell(Nanos now);
+  Nanos stay_away(Nanos now) const;
+
+  Server& server_;
+  Pcg chance_;
+  Nanos now_ = 0;
+  Nanos born_;
+  std::vector<OpType> types_;
+  std::vector<Tenant> tenants_;
+  std::map<OpId, Op> ops_;
+  std::vector<Op*> held_;    // in the order of their latest starts once planned
+  std::vector<Op*> at_call_; // parked at a call, in the order of coming there
+
+  double cores_ = 0;
+  double cap_ = 0;
+  double fall_multiple_ = 0;
+  double cold_from_ = 0;
+  Nanos warm_after_ = 0;
+  bool born_cold_ = false;
+  int running_ = 0; // started and not ended, waiting at calls or paused too
+  int on_core_ = 0;
+  Nanos held_since_ = 0;
+  Nanos cut_at_ = 0;
+  Nanos ended_at_ = 0; // when a run last ended or came to a call
+  double busy_ = 0;
+
+  double memory_kb_ = 0;
+  double memory_limit_ = 0;
+  double run_factor_ = 0;
+  double key_kb_ = 0;
+  std::map<OpId, Nanos> keys_; // kept entries and the ends of their times
+  Nanos fresh_for_ = 0;
+
+  double call_share_ = 0; // 0: no such bound
+  Nanos linger_ = 0;
+  WindowMean calls_;
+  std::vector<Nanos> lingering_; // ends of the stays of calls given up
+  Histogram call_time_;
+  int failures_in_row_ = 0;
+  Nanos open_until_ = 0;
+  Nanos open_for_ = 0;
+  bool trial_out_ = false;
+
+  enum class Halt { none, drop, pause } halt_ = Halt::none;
+  enum class Say { nothing, level, tokens, bias } say_ = Say::nothing;
+  double callers_ = 1;
+  double openness_ = 1;
+  double told_ = -1;
+  Nanos told_at_ = 0;
+  Nanos max_stay_away_ = 0;
+  double read_lately_ = 0;
+  double nacked_lately_ = 0;
+  Nanos counted_from_ = 0;
+  double over_share_worth_ = 1;
+  bool by_work_ = false;
+  int busy_gauge_ = -1;
+
+  Nanos grace_ = 0;
+  Nanos drained_at_ = -1; // -1: not told to leave
+  Nanos serve_until_ = 0;
+  Nanos answer_by_ = 0;
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/src/histogram.hpp
@@ -0,0 +1,105 @@
+// Measurements: a small histogram of durations with coarse bins, and the mean of a count over a window.
+#pragma once
+
+#include "ids.hpp"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+
+namespace cometshift {
+
+// Bins of half a power of two from about 1 ms; counts are halved when `most` have been noted, so that it
+// follows change.
+class Histogram {
+  static constexpr int bins = 32;
+  std::array<float, bins> count_{};
+  float total_ = 0;
+  float most_;
+
+  static int bin_of(Nanos span) {
+    const auto ms = static_cast<std::uint64_t>(std::max<Nanos>(span, 1) >> 18);
+    if (ms < 2) return 0;
+    const int top = std::bit_width(ms) - 1;
+    const int half = static_cast<int>((ms >> (top - 1)) & 1);
+    return std::min(bins - 1, 2 * top + half - 1);
+  }
+  static Nanos low_of(int bin) {
+    if (bin <= 0) return 0;
+    const int top = (bin + 1) / 2;
+    const std::uint64_t ms = (std::uint64_t{2} | ((bin + 1) & 1)) << (top - 1);
+    return static_cast<Nanos>(ms << 18);
+  }
+
+ public:
+  explicit Histogram(float most) : most_(most) {}
+
+  void note(Nanos span) {
+    count_[bin_of(span)] += 1;
+    total_ += 1;
+    if (total_ < most_) return;
+    for (float& c : count_) c /= 2;
+    total_ /= 2;
+  }
+  float total() const { return total_; }
+  // The span under which `part` of those noted lie, even within a bin; 0 if none was noted.
+  Nanos quantile(double part) const {
+    double left = part * total_;
+    for (int b = 0; b < bins; ++b) {
+      if (count_[b] > 0 && left <= count_[b])
+        return low_of(b) + static_cast<Nanos>(static_cast<double>(low_of(b + 1) - low_of(b)) * left / count_[b]);
+      left -= count_[b];
+    }
+    return total_ > 0 ? low_of(bins) : 0;
+  }
+  double mean() const {
+    double sum = 0;
+    for (int b = 0; b < bins; ++b) sum += count_[b] * 0.5 * static_cast<double>(low_of(b) + low_of(b + 1));
+    return total_ > 0 ? sum / total_ : 0;
+  }
+};
+
+// The mean of a count over a sliding window, kept in a few slices.
+class WindowMean {
+  static constexpr int slices = 16;
+  std::array<double, slices> area_{}; // count x time in each slice
+  Nanos slice_;
+  Nanos begin_;
+  Nanos at_;
+  std::int64_t index_ = 0;
+  double count_ = 0;
+
+ public:
+  WindowMean(Nanos window, Nanos now) : slice_(std::max<Nanos>(1, window / (slices - 1))), begin_(now), at_(now) {}
+
+  double count() const { return count_; }
+  void advance(Nanos now) {
+    while (at_ < now) {
+      const Nanos edge = begin_ + (index_ + 1) * slice_;
+      const Nanos to = std::min(now, edge);
+      area_[index_ % slices] += count_ * static_cast<double>(to - at_);
+      at_ = to;
+      if (to == edge) area_[++index_ % slices] = 0;
+    }
+  }
+  void change(Nanos now, double by) {
+    advance(now);
+    count_ += by;
+  }
+  // The mean over one window that ends `ahead` from now, should the count stand at `count` until then.
+  double mean_with(double count, Nanos ahead) const {
+    const Nanos window = slice_ * (slices - 1);
+    if (ahead >= window) return count;
+    double sum = count * static_cast<double>(ahead);
+    for (std::int64_t i = index_; i >= 0 && i > index_ - slices; --i) {
+      const Nanos from = std::max(begin_ + i * slice_, at_ + ahead - window);
+      const Nanos to = std::min(begin_ + (i + 1) * slice_, at_);
+      if (to <= from) continue;
+      const Nanos whole = to - (begin_ + i * slice_);
+      sum += area_[i % slices] * static_cast<double>(to - from) / static_cast<double>(whole);
+    }
+    return sum / static_cast<double>(window);
+  }
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/src/ids.hpp
@@ -0,0 +1,35 @@
+// Times and ids. Times are whole nanoseconds of the clock that the caller hands in; every kind of id is a
+// type of its own, so that one can't be passed where another is meant.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace cometshift {
+
+using Nanos = std::int64_t;
+
+template <class Tag, class Raw>
+struct Id {
+  Raw raw{};
+  constexpr auto operator<=>(const Id&) const = default;
+};
+
+using OpId = Id<struct OpIdTag, std::uint64_t>;        // 0: no op
+using OpTypeId = Id<struct OpTypeIdTag, std::uint32_t>; // index into the op types
+using TenantId = Id<struct TenantIdTag, std::uint32_t>; // index into the tenants
+using CallerId = Id<struct CallerIdTag, std::uint64_t>;
+using KeyId = Id<struct KeyIdTag, std::int64_t>; // -1: no key
+using WakeId = Id<struct WakeIdTag, std::uint64_t>;
+
+constexpr OpId no_op{0};
+constexpr KeyId no_key{-1};
+
+} // namespace cometshift
+
+template <class Tag, class Raw>
+struct std::hash<cometshift::Id<Tag, Raw>> {
+  std::size_t operator()(const cometshift::Id<Tag, Raw>& id) const noexcept { return std::hash<Raw>{}(id.raw); }
+};
--- /dev/null
+++ b/src/pcg.hpp
@@ -0,0 +1,25 @@
+// A permuted congruential generator (PCG-XSH-RR 64/32), the only source of chance.
+#pragma once
+
+#include <cstdint>
+
+namespace cometshift {
+
+class Pcg {
+  std::uint64_t state_;
+
+ public:
+  explicit Pcg(std::uint64_t seed) : state_(seed + 0x9e3779b97f4a7c15ULL) { next(); }
+
+  std::uint32_t next() {
+    const std::uint64_t old = state_;
+    state_ = old * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+    const auto turn = static_cast<std::uint32_t>(old >> 59);
+    return (mixed >> turn) | (mixed << ((32 - turn) & 31));
+  }
+
+  double unit() { return next() * 0x1p-32; } // 0 <= unit < 1
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,99 @@
+// What is remembered of ops and op types. Nothing here decides.
+#pragma once
+
+#include "histogram.hpp"
+#include "ids.hpp"
+
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace cometshift {
+
+// How a run or a call ended.
+enum class Outcome { done, failed, shed, timed_out, unreachable, cut, halted, moot };
+
+// `shed`, `unreachable` and `moot` prove that nothing was begun.
+constexpr bool proves_not_run(Outcome o) {
+  return o == Outcome::shed || o == Outcome::unreachable || o == Outcome::moot;
+}
+
+// What was given at the start: names to values, lists spelt out as "op_type.0.target_latency_ns".
+using Given = std::map<std::string, std::variant<double, std::string>, std::less<>>;
+
+inline double number(const Given& given, std::string_view name, double otherwise) {
+  const auto at = given.find(name);
+  if (at == given.end()) return otherwise;
+  if (const double* value = std::get_if<double>(&at->second)) return *value;
+  throw std::invalid_argument("setting " + std::string(name) + " is not a number");
+}
+// For what there is no doing without: the complaint names it.
+inline double needed(const Given& given, std::string_view name, double least) {
+  if (!given.contains(name)) throw std::invalid_argument("setting " + std::string(name) + " is missing");
+  const double value = number(given, name, 0);
+  if (!(value >= least)) throw std::invalid_argument("setting " + std::string(name) + " is senseless");
+  return value;
+}
+inline std::string text(const Given& given, std::string_view name, std::string_view otherwise) {
+  const auto at = given.find(name);
+  if (at == given.end()) return std::string(otherwise);
+  if (const std::string* value = std::get_if<std::string>(&at->second)) return *value;
+  throw std::invalid_argument("setting " + std::string(name) + " is not a text");
+}
+
+enum class Repeats { retryable, keyed, non_retryable };
+
+struct OpType {
+  Nanos target_latency = 0;
+  Nanos op_timeout = 0;
+  Nanos key_window = 0;
+  double importance = 1;
+  double late_share = 0;
+  double without_share = 0; // of the importance, for an answer without the call
+  double target_stretch = 0;
+  bool may_call = false;
+  Repeats repeats = Repeats::retryable;
+  Histogram run_time; // from start to end, calls included
+  Histogram core_time; // the same without the calls
+  Histogram recent;    // core time of late
+  Nanos base = 0;      // core time when all is well
+  Nanos longest_patience = 0;
+};
+
+enum class Stage { held, on_core, at_call, calling, paused, reusing };
+
+struct Op {
+  // Handed the outcome of the step that the op is at.
+  using Next = std::function<void(Op&, Outcome, Nanos lag)>;
+
+  OpId id;
+  OpTypeId type;
+  TenantId tenant;
+  KeyId key;
+  CallerId caller;
+  OpId earlier;      // the kept op that this one repeats
+  Nanos arrived = 0; // at the machine
+  Nanos first_seen = 0; // when its first try is thought to have begun
+  Nanos due = 0;     // it must be answered by then
+  Nanos started = 0;
+  Nanos on_core_since = 0;
+  Nanos on_core = 0; // time spent on the cores so far
+  Nanos called_at = 0;
+  Nanos hint = 0;
+  double held_kb = 0;
+  double rank = 0;
+  double worth = 0;
+  bool again = false;
+  bool kept = false;
+  bool ran = false;      // has been started here, ever
+  bool answered = false; // its final answer is given, or nobody waits; the run goes on
+  bool call_may_have_run = false;
+  Stage stage = Stage::held;
+  Next when_ended;
+  Next when_called;
+};
+
+} // namespace cometshift
