--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -1,6 +1,6 @@
-// cometshift_simhost: hosts one Choice for each instance of the simulator and speaks its wire on standard input
-// and output. It only carries: every decoded field goes straight into a call, every action into a line. Names of
-// the wire end here. A defect in the input ends the process with one line on standard error.
+// cometshift_simhost: hosts one Choice for each instance of the simulator and speaks its wire on standard
+// input and output. It only carries: every decoded field goes straight into a call, every action into a line.
+// Names of the wire end here. A defect in the input ends the process with one line on standard error.
 #include "choice.hpp"
 
 #include <simdjson.h>
@@ -41,8 +41,10 @@
   void quoted(std::string_view s) {
     out_ += '"';
     for (const char c : s) {
-      if (c == '"' || c == '\\') (out_ += '\\') += c;
-      else out_ += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+      if (c == '"' || c == '\\')
+        (out_ += '\\') += c;
+      else
+        out_ += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
     }
     out_ += '"';
   }
@@ -77,9 +79,12 @@
     lines_.raw(",\"");
     lines_.raw(name);
     lines_.raw("\":");
-    if constexpr (std::is_same_v<N, bool>) lines_.raw(value ? "true" : "false");
-    else if constexpr (std::is_arithmetic_v<N>) lines_.number(value);
-    else lines_.quoted(value);
+    if constexpr (std::is_same_v<N, bool>)
+      lines_.raw(value ? "true" : "false");
+    else if constexpr (std::is_arithmetic_v<N>)
+      lines_.number(value);
+    else
+      lines_.quoted(value);
   }
   void close() { lines_.raw("}}\n"); }
 
@@ -96,7 +101,9 @@
   void fail(OpId op) override { open("DROP_REQUEST", op), close(); }
   void call(OpId op, Nanos time_out) override { open("CALL", op), field("timeout_ns", time_out), close(); }
   void answer_without(OpId op) override { open("DO_WITHOUT", op), close(); }
-  void keep_key(OpId op, Nanos lifetime) override { open("RETAIN", op), field("lifetime_ns", lifetime), close(); }
+  void keep_key(OpId op, Nanos lifetime) override {
+    open("RETAIN", op), field("lifetime_ns", lifetime), close();
+  }
   void forget_key(OpId op) override { open("EVICT", op), close(); }
   void reuse(OpId op) override { open("REUSE", op), close(); }
   void halt(OpId op) override { open("YANK", op), close(); }
@@ -105,7 +112,9 @@
   }
   void tell_callers(double value) override { open("SIGNAL"), field("value", value), close(); }
   void idle_close(Nanos after) override { open("KEEPALIVE"), field("lifetime_ns", after), close(); }
-  void wake_at(Nanos at, WakeId name) override { open("SET_TIMER"), field("at_ns", at), field("name", name.raw), close(); }
+  void wake_at(Nanos at, WakeId name) override {
+    open("SET_TIMER"), field("at_ns", at), field("name", name.raw), close();
+  }
   void log(std::string_view words) override { open("WRITE_LOG"), field("words", words), close(); }
   void panic(std::string_view words) { open("PANIC"), field("words", words), close(); }
 };
@@ -137,7 +146,8 @@
 OpId id_in(std::string_view hex, std::string_view name) {
   std::uint64_t raw = 0;
   const auto [end, error] = std::from_chars(hex.data(), hex.data() + hex.size(), raw, 16);
-  if (hex.size() != 16 || error != std::errc() || end != hex.data() + hex.size()) bad("not an id in field", name);
+  if (hex.size() != 16 || error != std::errc() || end != hex.data() + hex.size())
+    bad("not an id in field", name);
   return OpId{raw};
 }
 OpId op_of(const object& o) { return id_in(must<std::string_view>(o, "msg_id"), "msg_id"); }
@@ -178,19 +188,26 @@
 void take(Given& given, const object& from, std::string_view name, std::string ours) {
   element at;
   if (from[name].get(at) != simdjson::SUCCESS) return;
-  if (bool flag; at.get(flag) == simdjson::SUCCESS) given[std::move(ours)] = flag ? 1.0 : 0.0;
-  else if (double value; at.get(value) == simdjson::SUCCESS) given[std::move(ours)] = value;
-  else if (std::string_view word; at.get(word) == simdjson::SUCCESS) given[std::move(ours)] = our_word(word);
+  if (bool flag; at.get(flag) == simdjson::SUCCESS)
+    given[std::move(ours)] = flag ? 1.0 : 0.0;
+  else if (double value; at.get(value) == simdjson::SUCCESS)
+    given[std::move(ours)] = value;
+  else if (std::string_view word; at.get(word) == simdjson::SUCCESS)
+    given[std::move(ours)] = our_word(word);
 }
-void take_row(Given& given, const object& from, std::string_view name, const std::string& before, std::string_view after) {
+void take_row(Given& given, const object& from, std::string_view name, const std::string& before,
+              std::string_view after) {
   simdjson::dom::array row;
   if (from[name].get(row) != simdjson::SUCCESS) return;
   std::size_t i = 0;
   for (const element at : row) {
     const std::string ours = before + std::to_string(i++) + std::string(after);
-    if (bool flag; at.get(flag) == simdjson::SUCCESS) given[ours] = flag ? 1.0 : 0.0;
-    else if (double value; at.get(value) == simdjson::SUCCESS) given[ours] = value;
-    else if (std::string_view word; at.get(word) == simdjson::SUCCESS) given[ours] = our_word(word);
+    if (bool flag; at.get(flag) == simdjson::SUCCESS)
+      given[ours] = flag ? 1.0 : 0.0;
+    else if (double value; at.get(value) == simdjson::SUCCESS)
+      given[ours] = value;
+    else if (std::string_view word; at.get(word) == simdjson::SUCCESS)
+      given[ours] = our_word(word);
   }
 }
 Given given_by(const object& config) {
@@ -200,21 +217,38 @@
   take(given, config, "over_share_worth", "over_share_worth");
   take(given, config, "period_ns", "period_ns");
   if (object info; config["family_info"].get(info) == simdjson::SUCCESS) {
-    for (const auto& [wire, ours] : std::initializer_list<std::pair<const char*, const char*>>{
-             {"below", "below"}, {"callers", "callers"}, {"calls_out", "call_share"}, {"calls_over_ns", "calls_over_ns"},
-             {"cold", "cold"}, {"cpus", "cores"}, {"deep_checks", "deep_checks"}, {"fresh_for_ns", "fresh_for_ns"},
-             {"halt", "halt"}, {"heeded_ns", "heeded_ns"}, {"idle_ns", "idle_ns"}, {"key_kb", "key_kb"},
-             {"list_follows", "list_follows"}, {"mem_limit_kb", "memory_kb"}, {"run_factor", "run_factor"}, {"say", "say"},
-             {"stays_for_ns", "call_linger_ns"}, {"tells_gone", "tells_gone"}})
+    for (const auto& [wire, ours] :
+         std::initializer_list<std::pair<const char*, const char*>>{{"below", "below"},
+                                                                    {"callers", "callers"},
+                                                                    {"calls_out", "call_share"},
+                                                                    {"calls_over_ns", "calls_over_ns"},
+                                                                    {"cold", "cold"},
+                                                                    {"cpus", "cores"},
+                                                                    {"deep_checks", "deep_checks"},
+                                                                    {"fresh_for_ns", "fresh_for_ns"},
+                                                                    {"halt", "halt"},
+                                                                    {"heeded_ns", "heeded_ns"},
+                                                                    {"idle_ns", "idle_ns"},
+                                                                    {"key_kb", "key_kb"},
+                                                                    {"list_follows", "list_follows"},
+                                                                    {"mem_limit_kb", "memory_kb"},
+                                                                    {"run_factor", "run_factor"},
+                                                                    {"say", "say"},
+                                                                    {"stays_for_ns", "call_linger_ns"},
+                                                                    {"tells_gone", "tells_gone"}})
       take(given, info, wire, ours);
     take_row(given, info, "gauges", "gauge.", "");
     take_row(given, info, "calls_by_class", "op_type.", ".may_call");
     take_row(given, info, "class_skip_worth", "op_type.", ".without_share");
   }
   if (object rules; config["invariants"].get(rules) == simdjson::SUCCESS)
-    for (const auto& [wire, ours] : std::initializer_list<std::pair<const char*, const char*>>{
-             {"answer_slack_ns", "answer_slack_ns"}, {"cold_from", "cold_from"}, {"warm_after_ns", "warm_after_ns"},
-             {"drain_grace_ns", "drain_grace_ns"}, {"fall_multiple", "fall_multiple"}, {"fall_ns", "fall_ns"}})
+    for (const auto& [wire, ours] :
+         std::initializer_list<std::pair<const char*, const char*>>{{"answer_slack_ns", "answer_slack_ns"},
+                                                                    {"cold_from", "cold_from"},
+                                                                    {"warm_after_ns", "warm_after_ns"},
+                                                                    {"drain_grace_ns", "drain_grace_ns"},
+                                                                    {"fall_multiple", "fall_multiple"},
+                                                                    {"fall_ns", "fall_ns"}})
       take(given, rules, wire, ours);
   if (object limits; config["limits"].get(limits) == simdjson::SUCCESS) {
     take(given, limits, "retry_after", "stay_away_heeded");
@@ -230,10 +264,14 @@
     for (const element at : types) {
       const object type = at.get_object();
       const std::string before = "op_type." + std::to_string(i++) + ".";
-      for (const auto& [wire, ours] : std::initializer_list<std::pair<const char*, const char*>>{
-               {"deadline_ns", "op_timeout_ns"}, {"target_ns", "target_latency_ns"}, {"key_ttl_ns", "key_window_ns"},
-               {"importance", "importance"}, {"late_share", "late_share"}, {"aim_stretch", "target_stretch"},
-               {"effect", "repeats"}})
+      for (const auto& [wire, ours] :
+           std::initializer_list<std::pair<const char*, const char*>>{{"deadline_ns", "op_timeout_ns"},
+                                                                      {"target_ns", "target_latency_ns"},
+                                                                      {"key_ttl_ns", "key_window_ns"},
+                                                                      {"importance", "importance"},
+                                                                      {"late_share", "late_share"},
+                                                                      {"aim_stretch", "target_stretch"},
+                                                                      {"effect", "repeats"}})
         take(given, type, wire, before + ours);
     }
   i = 0;
@@ -279,7 +317,8 @@
       const auto seed = must<std::uint64_t>(f, "entropy");
       const Given given = given_by(must<object>(f, "config"));
       instances_.erase(number);
-      Instance& made = instances_.try_emplace(number, Instance{WireServer(lines_, number), nullptr}).first->second;
+      Instance& made =
+          instances_.try_emplace(number, Instance{WireServer(lines_, number), nullptr}).first->second;
       guarded(made, [&] { made.choice = std::make_unique<Choice>(now_, seed, given, made.server); });
       return;
     }
@@ -304,12 +343,14 @@
       const auto tenant = maybe<std::uint64_t>(f, "user_group").value_or(0);
       const auto key = maybe<std::int64_t>(f, "partition_key").value_or(-1);
       const auto caller = maybe<std::uint64_t>(f, "sender").value_or(0);
-      const Nanos patience = span_of(f, "patience_left_ns"), waited = span_of(f, "waited_ns"), hint = span_of(f, "effort_ns");
+      const Nanos patience = span_of(f, "patience_left_ns"), waited = span_of(f, "waited_ns"),
+                  hint = span_of(f, "effort_ns");
       const double kb = maybe<double>(f, "kb").value_or(0), rank = maybe<double>(f, "prio").value_or(0);
       const bool again = maybe<bool>(f, "again_by_client").value_or(false);
       hand([&] {
-        choice.op_read(now_, id, OpTypeId{static_cast<std::uint32_t>(type)}, TenantId{static_cast<std::uint32_t>(tenant)},
-                       KeyId{key}, CallerId{caller}, patience, waited, hint, kb, rank, again, earlier);
+        choice.op_read(now_, id, OpTypeId{static_cast<std::uint32_t>(type)},
+                       TenantId{static_cast<std::uint32_t>(tenant)}, KeyId{key}, CallerId{caller}, patience,
+                       waited, hint, kb, rank, again, earlier);
       });
     } else if (name == "ENDED") {
       const OpId id = op_of(f);
@@ -351,7 +392,8 @@
  public:
   void line(const element& message) {
     object outer;
-    if (message.get(outer) != simdjson::SUCCESS || outer.size() != 1) throw Defect("a message is not an object with one key");
+    if (message.get(outer) != simdjson::SUCCESS || outer.size() != 1)
+      throw Defect("a message is not an object with one key");
     const auto field = *outer.begin();
     object f;
     if (field.value.get(f) != simdjson::SUCCESS) bad("no object under", field.key);
@@ -405,7 +447,8 @@
       while (const void* at = std::memchr(buffer.data() + look, '\n', filled - look)) {
         const std::size_t end = static_cast<std::size_t>(static_cast<const char*>(at) - buffer.data());
         ++line;
-        if (std::string_view(buffer.data() + from, end - from).find_first_not_of(" \t\r") != std::string_view::npos) {
+        if (std::string_view(buffer.data() + from, end - from).find_first_not_of(" \t\r") !=
+            std::string_view::npos) {
           element message;
           if (parser.parse(buffer.data() + from, end - from, false).get(message) != simdjson::SUCCESS)
             throw Defect("not the wire's JSON");
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,9 +1,10 @@
 // cometshift's decisions, all of them. One `Choice` serves one server: call `op_read` and the others below as
-// things happen; it acts at once through the `Server` that it was built with. Both are declared in choice.hpp,
-// what is remembered of an op in state.hpp.
+// things happen; it acts at once through the `Server` that it was built with. Both are declared in
+// choice.hpp, what is remembered of an op in state.hpp.
 //
 // The design (docs/design.md) decides the ordinary path: health is stored and turns bad at the drain notice,
-// ops are served through the shutdown delay, and a cap bounds the running ops. Beside it stand six mechanisms:
+// ops are served through the shutdown delay, and a cap bounds the running ops. Beside it stand six
+// mechanisms:
 //   1. hold: the order, and which ops are nacked, by importance that can still be won per expected work
 //   2. guard: memory and the crowd on the cores, by warmth; every op answered by its due time
 //   3. keys: repeats of keyed ops are known and never run twice; reads may share answers
@@ -23,32 +24,33 @@
 constexpr Nanos ms = 1'000'000;
 constexpr Nanos second = 1000 * ms;
 
-constexpr Nanos tick = 20 * ms;            // between looks at dues and gauges: a third of the least slack asked for
-constexpr Nanos gauge_span = 500 * ms;     // what the gauge of the cores averages over
-constexpr double free_below = 0.9;         // part of the cores busy: under it they read free, noise allowed for
-constexpr double cap_growth = 1.25;        // a tick: doubles within four, fast against a gauge of half a second
-constexpr double cap_cut = 0.85;           // a cut: undoes about one step of growth
-constexpr Nanos cut_every = 500 * ms;      // between cuts: as long as the gauge takes to show the last
-constexpr double crowded_latency = 2;      // times the base: the design's figure
-constexpr double crowd_part = 0.85;        // of the survivable crowd: room for what resumes unasked
-constexpr double memory_part = 0.95;       // of the memory: room for ops read in the same instant
-constexpr double calls_part = 0.9;         // of the share of calls: room for the time a reply takes
-constexpr float long_memory = 400;         // ops until a histogram is halved: some tens of seconds of work
-constexpr float short_memory = 24;         // the same for what is to show the last seconds
-constexpr float enough = 8;                // ops in a histogram before it is believed
-constexpr double planned_sureness = 0.7;   // part of runs that take no longer than planned for
-constexpr double last_sureness = 0.15;     // under this chance of being in time an op is not begun
-constexpr double unknown_run = 0.25;       // of the target latency: a run's length before any was seen
-constexpr int failures_to_open = 5;        // calls failing in a row: as the operators' staff know it
-constexpr Nanos open_first = 250 * ms;     // the breaker's first rest, then doubled: some round trips
-constexpr Nanos open_most = 4 * second;    // its longest: a dependency comes back within some seconds
-constexpr Nanos count_span = 500 * ms;     // over which nacks are counted for what callers are told
-constexpr double rate_keep = 0.8;          // part of the rate before that a count leaves: about two seconds
-constexpr double openness_step = 0.05;     // raised a count without nacks: back within ten seconds
-constexpr double openness_cut = 0.8;       // lowered a count with nacks
-constexpr double openness_least = 0.1;     // never shut: some traffic must tell when it may open again
-constexpr double nacks_felt = 0.05;        // part of those read: fewer nacks are chance
-constexpr double tokens_per_cap = 3;       // ops out here for each allowed to run, at full openness
+constexpr Nanos tick = 20 * ms; // between looks at dues and gauges: a third of the least slack asked for
+constexpr Nanos gauge_span = 500 * ms;   // what the gauge of the cores averages over
+constexpr double free_below = 0.9;       // part of the cores busy: under it they read free, noise allowed for
+constexpr double cap_growth = 1.25;      // a tick: doubles within four, fast against a gauge of half a second
+constexpr double cap_cut = 0.85;         // a cut: undoes about one step of growth
+constexpr Nanos cut_every = 500 * ms;    // between cuts: as long as the gauge takes to show the last
+constexpr double crowded_latency = 2;    // times the base: the design's figure
+constexpr double crowd_part = 0.85;      // of the survivable crowd: room for what resumes unasked
+constexpr double memory_part = 0.95;     // of the memory: room for ops read in the same instant
+constexpr double calls_part = 0.9;       // of the share of calls: room for the time a reply takes
+constexpr float long_memory = 400;       // ops until a histogram is halved: some tens of seconds of work
+constexpr float short_memory = 24;       // the same for what is to show the last seconds
+constexpr float enough = 8;              // ops in a histogram before it is believed
+constexpr double later_try = 0.9;        // of a caller's usual patience: less is a later try, not jitter
+constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
+constexpr double last_sureness = 0.15;   // under this chance of being in time an op is not begun
+constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
+constexpr int failures_to_open = 5;      // calls failing in a row: as the operators' staff know it
+constexpr Nanos open_first = 250 * ms;   // the breaker's first rest, then doubled: some round trips
+constexpr Nanos open_most = 4 * second;  // its longest: a dependency comes back within some seconds
+constexpr Nanos count_span = 500 * ms;   // over which nacks are counted for what callers are told
+constexpr double rate_keep = 0.8;        // part of the rate before that a count leaves: about two seconds
+constexpr double openness_step = 0.05;   // raised a count without nacks: back within ten seconds
+constexpr double openness_cut = 0.8;     // lowered a count with nacks
+constexpr double openness_least = 0.1;   // never shut: some traffic must tell when it may open again
+constexpr double nacks_felt = 0.05;      // part of those read: fewer nacks are chance
+constexpr double tokens_per_cap = 3;     // ops out here for each allowed to run, at full openness
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -75,7 +77,10 @@
   const std::string halt = text(given, "halt", "none");
   halt_ = halt == "pause" ? Halt::pause : halt == "drop" ? Halt::drop : Halt::none;
   const std::string say = text(given, "say", "none");
-  say_ = say == "level" ? Say::level : say == "tokens" ? Say::tokens : say == "bias" ? Say::bias : Say::nothing;
+  say_ = say == "level"    ? Say::level
+         : say == "tokens" ? Say::tokens
+         : say == "bias"   ? Say::bias
+                           : Say::nothing;
   callers_ = std::max(1.0, number(given, "callers", 1));
   if (number(given, "stay_away_heeded", 0) != 0)
     max_stay_away_ = static_cast<Nanos>(number(given, "max_stay_away_ns", 0));
@@ -86,7 +91,9 @@
     if (text(given, "gauge." + std::to_string(g), "") == "cores_busy") busy_gauge_ = g;
   for (int t = 0; given.contains("op_type." + std::to_string(t) + ".op_timeout_ns"); ++t) {
     const std::string at = "op_type." + std::to_string(t) + ".";
-    OpType type{.run_time = Histogram(long_memory), .core_time = Histogram(long_memory), .recent = Histogram(short_memory)};
+    OpType type{.run_time = Histogram(long_memory),
+                .core_time = Histogram(long_memory),
+                .recent = Histogram(short_memory)};
     type.op_timeout = static_cast<Nanos>(needed(given, at + "op_timeout_ns", 1));
     type.target_latency = static_cast<Nanos>(needed(given, at + "target_latency_ns", 1));
     type.key_window = static_cast<Nanos>(number(given, at + "key_window_ns", 0));
@@ -115,7 +122,8 @@
 double Choice::survivable(Nanos now) const {
   double warmth = 1;
   if (born_cold_ && warm_after_ > 0)
-    warmth = std::min(1.0, cold_from_ + (1 - cold_from_) * static_cast<double>(now - born_) / static_cast<double>(warm_after_));
+    warmth = std::min(1.0, cold_from_ + (1 - cold_from_) * static_cast<double>(now - born_) /
+                                            static_cast<double>(warm_after_));
   return std::max(cores_, std::floor(crowd_part * cores_ * (1 + (fall_multiple_ - 1) * warmth)));
 }
 
@@ -129,7 +137,8 @@
   } else if (busy_ >= free_below && now - cut_at_ >= cut_every) {
     for (const OpType& type : types_) {
       if (type.base == 0 || type.recent.total() < enough) continue;
-      if (static_cast<double>(type.recent.quantile(0.5)) < crowded_latency * static_cast<double>(type.base)) continue;
+      if (static_cast<double>(type.recent.quantile(0.5)) < crowded_latency * static_cast<double>(type.base))
+        continue;
       cap_ *= cap_cut;
       cut_at_ = now;
       break;
@@ -142,11 +151,14 @@
 
 Nanos Choice::core_time(const Op& op) const {
   const OpType& type = types_[op.type.raw];
-  if (type.core_time.total() < enough) return static_cast<Nanos>(unknown_run * static_cast<double>(type.target_latency));
+  if (type.core_time.total() < enough)
+    return static_cast<Nanos>(unknown_run * static_cast<double>(type.target_latency));
   return static_cast<Nanos>(type.core_time.mean());
 }
 
-Nanos Choice::win_by(const Op& op) const { return std::min(op.first_seen + types_[op.type.raw].target_latency, op.due); }
+Nanos Choice::win_by(const Op& op) const {
+  return std::min(op.first_seen + types_[op.type.raw].target_latency, op.due);
+}
 
 bool Choice::winnable(const Op& op, Nanos begin, double sureness) const {
   const OpType& type = types_[op.type.raw];
@@ -169,10 +181,13 @@
 // elsewhere. Guards against a line in which all are late; harms if runs are taken for longer than they are.
 void Choice::plan(Nanos now) {
   std::stable_sort(held_.begin(), held_.end(), [this](const Op* a, const Op* b) {
-    const auto latest = [this](const Op* o) { return win_by(*o) - types_[o->type.raw].run_time.quantile(planned_sureness); };
+    const auto latest = [this](const Op* o) {
+      return win_by(*o) - types_[o->type.raw].run_time.quantile(planned_sureness);
+    };
     return latest(a) < latest(b);
   });
-  double ahead = std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
+  double ahead =
+      std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
   double line = 0;
   std::vector<Op*> out;
   std::vector<Op*> kept;
@@ -186,7 +201,8 @@
     const Nanos begin = now + static_cast<Nanos>((ahead * work + line) / cap_);
     line += work;
     if (begin == now || winnable(*op, begin, planned_sureness)) continue;
-    const auto worst = std::min_element(kept.begin(), kept.end(), [this](const Op* a, const Op* b) { return density(*a) < density(*b); });
+    const auto worst = std::min_element(
+        kept.begin(), kept.end(), [this](const Op* a, const Op* b) { return density(*a) < density(*b); });
     line -= static_cast<double>(core_time(**worst));
     out.push_back(*worst);
     kept.erase(worst);
@@ -213,8 +229,10 @@
       ++i;
     }
   }
-  if (held_.empty()) held_since_ = 0;
-  else if (held_since_ == 0) held_since_ = now;
+  if (held_.empty())
+    held_since_ = 0;
+  else if (held_since_ == 0)
+    held_since_ = now;
 }
 
 void Choice::start(Nanos now, Op& op) {
@@ -256,7 +274,8 @@
     type.core_time.note(op.on_core);
     type.recent.note(op.on_core);
     const Nanos usual = type.recent.quantile(0.5);
-    if (type.recent.total() >= enough) type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / 256);
+    if (type.recent.total() >= enough)
+      type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / 256);
   }
   if (outcome == Outcome::halted && !op.answered) { // fell back into the hold
     op.stage = Stage::held;
@@ -311,14 +330,18 @@
   for (auto& [id, op] : ops_)
     if (!op.answered && op.due <= now + 2 * tick) late.push_back(&op);
   for (Op* op : late) {
-    if (op->stage == Stage::held && !op->ran && op->earlier == no_op) turn_away(now, *op);
-    else give_up(now, *op);
+    if (op->stage == Stage::held && !op->ran && op->earlier == no_op)
+      turn_away(now, *op);
+    else
+      give_up(now, *op);
   }
 }
 
 // ---- memory and keys
 
-double Choice::memory_with(double kb) const { return memory_kb_ + kb + key_kb_ * static_cast<double>(keys_.size()); }
+double Choice::memory_with(double kb) const {
+  return memory_kb_ + kb + key_kb_ * static_cast<double>(keys_.size());
+}
 
 // Keeps the entry to the end of the window, counted from the arrival at the machine. False if memory lacks.
 bool Choice::keep(Nanos now, Op& op) {
@@ -416,10 +439,13 @@
 }
 
 void Choice::after_call(Nanos now, Op& op, Outcome outcome) {
-  if (outcome == Outcome::timed_out) lingering_.push_back(now + linger_);
-  else calls_.change(now, -1);
+  if (outcome == Outcome::timed_out)
+    lingering_.push_back(now + linger_);
+  else
+    calls_.change(now, -1);
   if (outcome == Outcome::done) return join_core(now, op);
-  if (types_[op.type.raw].repeats != Repeats::retryable && !proves_not_run(outcome)) op.call_may_have_run = true;
+  if (types_[op.type.raw].repeats != Repeats::retryable && !proves_not_run(outcome))
+    op.call_may_have_run = true;
   if (op.answered) {
     op.stage = Stage::at_call;
     return;
@@ -439,7 +465,8 @@
   if (now - counted_from_ >= count_span) {
     const double span = static_cast<double>(now - counted_from_) / static_cast<double>(second);
     const bool crowded = nacked_lately_ > nacks_felt * read_lately_;
-    openness_ = crowded ? std::max(openness_least, openness_ * openness_cut) : std::min(1.0, openness_ + openness_step);
+    openness_ = crowded ? std::max(openness_least, openness_ * openness_cut)
+                        : std::min(1.0, openness_ + openness_step);
     read_lately_ = nacked_lately_ = 0;
     counted_from_ = now;
     for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, span / 0.5);
@@ -447,10 +474,17 @@
   double value = 0;
   const double open = drained_at_ >= 0 ? 0 : openness_;
   switch (say_) {
-  case Say::nothing: return;
-  case Say::level: value = 1 - open; break;
-  case Say::bias: value = open; break;
-  case Say::tokens: value = open * tokens_per_cap * cap_ / callers_; break;
+  case Say::nothing:
+    return;
+  case Say::level:
+    value = 1 - open;
+    break;
+  case Say::bias:
+    value = open;
+    break;
+  case Say::tokens:
+    value = open * tokens_per_cap * cap_ / callers_;
+    break;
   }
   if (std::abs(value - told_) < 0.01) return;
   told_ = value;
@@ -459,8 +493,9 @@
 
 // ---- what happens
 
-void Choice::op_read(Nanos now, OpId id, OpTypeId type_id, TenantId tenant, KeyId key, CallerId caller, Nanos patience,
-                     Nanos waited, Nanos hint, double held_kb, double rank, bool again, OpId earlier) {
+void Choice::op_read(Nanos now, OpId id, OpTypeId type_id, TenantId tenant, KeyId key, CallerId caller,
+                     Nanos patience, Nanos waited, Nanos hint, double held_kb, double rank, bool again,
+                     OpId earlier) {
   now_ = now;
   if (type_id.raw >= types_.size()) throw std::invalid_argument("an op of an unknown op type");
   OpType& type = types_[type_id.raw];
@@ -479,10 +514,12 @@
   op.worth = type.importance;
   op.due = patience > 0 ? now + patience : std::max(now, op.arrived + type.op_timeout);
   op.first_seen = op.arrived;
-  if (patience > 0) { // a later try has less left than others: that tells when the first began
+  if (patience > 0) { // a try with less left than this caller's usual began so much earlier
     const Nanos left = patience + waited;
-    type.longest_patience = std::max(type.longest_patience, left);
-    if (left < type.longest_patience - type.longest_patience / 16) op.first_seen = op.arrived + left - type.op_timeout;
+    Nanos& usual = usual_patience_.try_emplace({caller, type_id}, left).first->second;
+    if (static_cast<double>(left) < later_try * static_cast<double>(usual))
+      op.first_seen = op.arrived + left - type.op_timeout;
+    usual += (left > usual ? 1 : left < usual ? -1 : 0) * usual / 64;
   }
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
@@ -490,7 +527,8 @@
   if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) / 0.5;
 
   if (earlier != no_op && reuse_earlier(now, op)) return;
-  if (drained_at_ >= 0 && (now > serve_until_ || op.arrived > drained_at_ + grace_)) return turn_away(now, op);
+  if (drained_at_ >= 0 && (now > serve_until_ || op.arrived > drained_at_ + grace_))
+    return turn_away(now, op);
   if (memory_with(0) > memory_part * memory_limit_) return turn_away(now, op);
   const bool keyed = type.repeats == Repeats::keyed;
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && key != no_key;
@@ -542,8 +580,10 @@
   const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   leave_core(now, at->second);
-  if (at->second.answered) at->second.stage = Stage::at_call;
-  else at_call(now, at->second);
+  if (at->second.answered)
+    at->second.stage = Stage::at_call;
+  else
+    at_call(now, at->second);
   settle(now);
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -102,6 +102,7 @@
   std::vector<Op*> held_;    // in the order of their latest starts once planned
   std::vector<Op*> at_call_; // parked at a call, in the order of coming there
 
+  std::map<std::pair<CallerId, OpTypeId>, Nanos> usual_patience_; // a median that moves by small steps
   double cores_ = 0;
   double cap_ = 0;
   double fall_multiple_ = 0;
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -47,7 +47,8 @@
     double left = part * total_;
     for (int b = 0; b < bins; ++b) {
       if (count_[b] > 0 && left <= count_[b])
-        return low_of(b) + static_cast<Nanos>(static_cast<double>(low_of(b + 1) - low_of(b)) * left / count_[b]);
+        return low_of(b) +
+               static_cast<Nanos>(static_cast<double>(low_of(b + 1) - low_of(b)) * left / count_[b]);
       left -= count_[b];
     }
     return total_ > 0 ? low_of(bins) : 0;
@@ -70,7 +71,8 @@
   double count_ = 0;
 
  public:
-  WindowMean(Nanos window, Nanos now) : slice_(std::max<Nanos>(1, window / (slices - 1))), begin_(now), at_(now) {}
+  WindowMean(Nanos window, Nanos now)
+      : slice_(std::max<Nanos>(1, window / (slices - 1))), begin_(now), at_(now) {}
 
   double count() const { return count_; }
   void advance(Nanos now) {
--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -17,7 +17,7 @@
   constexpr auto operator<=>(const Id&) const = default;
 };
 
-using OpId = Id<struct OpIdTag, std::uint64_t>;        // 0: no op
+using OpId = Id<struct OpIdTag, std::uint64_t>;         // 0: no op
 using OpTypeId = Id<struct OpTypeIdTag, std::uint32_t>; // index into the op types
 using TenantId = Id<struct TenantIdTag, std::uint32_t>; // index into the tenants
 using CallerId = Id<struct CallerIdTag, std::uint64_t>;
@@ -31,5 +31,7 @@
 
 template <class Tag, class Raw>
 struct std::hash<cometshift::Id<Tag, Raw>> {
-  std::size_t operator()(const cometshift::Id<Tag, Raw>& id) const noexcept { return std::hash<Raw>{}(id.raw); }
+  std::size_t operator()(const cometshift::Id<Tag, Raw>& id) const noexcept {
+    return std::hash<Raw>{}(id.raw);
+  }
 };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -56,11 +56,10 @@
   double target_stretch = 0;
   bool may_call = false;
   Repeats repeats = Repeats::retryable;
-  Histogram run_time; // from start to end, calls included
+  Histogram run_time;  // from start to end, calls included
   Histogram core_time; // the same without the calls
   Histogram recent;    // core time of late
   Nanos base = 0;      // core time when all is well
-  Nanos longest_patience = 0;
 };
 
 enum class Stage { held, on_core, at_call, calling, paused, reusing };
@@ -74,10 +73,10 @@
   TenantId tenant;
   KeyId key;
   CallerId caller;
-  OpId earlier;      // the kept op that this one repeats
-  Nanos arrived = 0; // at the machine
+  OpId earlier;         // the kept op that this one repeats
+  Nanos arrived = 0;    // at the machine
   Nanos first_seen = 0; // when its first try is thought to have begun
-  Nanos due = 0;     // it must be answered by then
+  Nanos due = 0;        // it must be answered by then
   Nanos started = 0;
   Nanos on_core_since = 0;
   Nanos on_core = 0; // time spent on the cores so far
--- /dev/null
+++ b/tests/calls.cpp
@@ -0,0 +1,32 @@
+#include "scene.hpp"
+
+int main() {
+  Scene s({{"call_share", 2.0},
+           {"calls_over_ns", 1e9},
+           {"call_linger_ns", 3e8},
+           {"op_type.0.without_share", 0.5}});
+  s.say("no more calls in hand than this server's share; an answer without the call where that is worth "
+        "something");
+  for (unsigned id = 1; id <= 3; ++id) {
+    s.read(id, {.type = 1});
+    s.wants_call(id);
+  }
+  s.read(4);
+  s.wants_call(4);
+  s.say("room again: the parked one calls");
+  s.to(100);
+  s.called(1);
+  s.say("a call given up stays in the hands of what lies below for a while: the third waits");
+  s.called(2, Outcome::timed_out);
+  s.to(500);
+  Scene k;
+  k.say("a keyed op calls again if the call is known not to have run, else it is failed at once");
+  k.read(1, {.type = 1});
+  k.wants_call(1);
+  k.called(1, Outcome::shed);
+  k.called(1, Outcome::cut);
+  k.say("a retryable one calls again");
+  k.read(2);
+  k.wants_call(2);
+  k.called(2, Outcome::cut);
+}
--- /dev/null
+++ b/tests/crowd.cpp
@@ -0,0 +1,19 @@
+#include "scene.hpp"
+
+// How many are started when all go to wait at a call as soon as they run.
+static void crowd(Scene& s, unsigned id) {
+  for (int i = 0; i < 20; ++i, ++id) {
+    s.read(id, {.kb = 1});
+    if (s.running.contains(OpId{id})) s.wants_call(id);
+  }
+  std::printf("%zu\n", s.running.size());
+}
+
+int main() {
+  Scene s;
+  s.say("those waiting at calls are not under the cap, but with the running ones under the survivable crowd");
+  crowd(s, 1);
+  Scene c({{"cold", 1.0}, {"cold_from", 0.2}, {"warm_after_ns", 10e9}});
+  c.say("cold: fewer");
+  crowd(c, 1);
+}
--- /dev/null
+++ b/tests/memory.cpp
@@ -0,0 +1,21 @@
+#include "scene.hpp"
+
+int main() {
+  Scene s({{"memory_kb", 1000.0}});
+  s.say("a run takes four times what it held: the second waits for the first");
+  s.read(1, {.kb = 150});
+  s.read(2, {.kb = 150});
+  s.say("what does not fit into the hold is nacked at once");
+  s.read(3, {.kb = 250});
+  s.to(300);
+  s.ended(1);
+  Scene k({{"memory_kb", 400.0}, {"key_kb", 60.0}});
+  k.say("a keyed op whose entry has no room is not taken; its window ends, then the next is");
+  for (unsigned id = 1; id <= 6; ++id) {
+    k.read(id, {.type = 1, .kb = 20});
+    k.after(100);
+    if (k.running.contains(OpId{id})) k.ended(id);
+  }
+  k.to(10100);
+  k.read(7, {.type = 1, .kb = 20});
+}
--- /dev/null
+++ b/tests/scene.hpp
@@ -0,0 +1,119 @@
+// Drives one Choice alone and prints its decisions, a line each, for comparison with a kept trace.
+#pragma once
+
+#include "choice.hpp"
+
+#include <cstdio>
+#include <initializer_list>
+#include <memory>
+#include <set>
+
+using namespace cometshift;
+
+constexpr Nanos ms = 1'000'000;
+
+struct Read {
+  unsigned type = 0;
+  unsigned tenant = 0;
+  Nanos patience = 0; // ms
+  Nanos waited = 0;   // ms
+  double kb = 10;
+  std::int64_t key = -1;
+  OpId earlier = no_op;
+  unsigned caller = 0;
+  bool again = false;
+};
+
+class Scene final : public Server {
+  std::unique_ptr<Choice> choice_;
+  Nanos now_ = 0;
+  Nanos wake_ = 0;
+  double busy_ = 1;
+
+  void line(const char* what, OpId op) {
+    std::printf("%6lld  %s %llu\n", at(), what, static_cast<unsigned long long>(op.raw));
+  }
+  long long at() const { return static_cast<long long>(now_ / ms); }
+
+ public:
+  std::set<OpId> running; // started, and not ended by the test
+
+  // Two cores, a retryable type 0 and a keyed type 1; what `more` names is changed or added.
+  explicit Scene(std::initializer_list<Given::value_type> more = {},
+                 std::initializer_list<const char*> without = {}) {
+    Given given{{"cores", 2.0},         {"fall_multiple", 4.0},
+                {"memory_kb", 10000.0}, {"run_factor", 4.0},
+                {"key_kb", 5.0},        {"drain_grace_ns", 2e9},
+                {"fleet_size", 1.0},    {"gauge.0", std::string("cores_busy")},
+                {"callers", 2.0}};
+    for (const char* type : {"op_type.0.", "op_type.1."}) {
+      given[std::string(type) + "op_timeout_ns"] = 4e9;
+      given[std::string(type) + "target_latency_ns"] = 2e9;
+      given[std::string(type) + "may_call"] = 1.0;
+    }
+    given["op_type.1.repeats"] = std::string("keyed");
+    given["op_type.1.key_window_ns"] = 10e9;
+    given["op_type.1.importance"] = 3.0;
+    for (const auto& [name, value] : more) given[name] = value;
+    for (const char* name : without) given.erase(name);
+    choice_ = std::make_unique<Choice>(0, 7, given, *this);
+  }
+
+  void run(OpId op) override { running.insert(op), line("run", op); }
+  void nack(OpId op, bool no_retry, Nanos) override { line(no_retry ? "nack, no retry," : "nack", op); }
+  void fail(OpId op) override { line("fail", op); }
+  void call(OpId op, Nanos time_out) override {
+    std::printf("%6lld  call %llu for %lld\n", at(), static_cast<unsigned long long>(op.raw),
+                static_cast<long long>(time_out / ms));
+  }
+  void answer_without(OpId op) override { line("answer without", op); }
+  void keep_key(OpId op, Nanos life) override {
+    std::printf("%6lld  keep %llu for %lld\n", at(), static_cast<unsigned long long>(op.raw),
+                static_cast<long long>(life / ms));
+  }
+  void forget_key(OpId op) override { line("forget", op); }
+  void reuse(OpId op) override { line("reuse", op); }
+  void halt(OpId op) override { line("halt", op); }
+  void health(bool good, bool stored) override {
+    std::printf("%6lld  health %s%s\n", at(), good ? "good" : "bad", stored ? ", from store" : "");
+  }
+  void tell_callers(double value) override { std::printf("%6lld  tell %.2f\n", at(), value); }
+  void idle_close(Nanos after) override {
+    std::printf("%6lld  idle close %lld\n", at(), static_cast<long long>(after / ms));
+  }
+  void wake_at(Nanos when, WakeId) override { wake_ = when; }
+  void log(std::string_view words) override {
+    std::printf("%6lld  log %.*s\n", at(), static_cast<int>(words.size()), words.data());
+  }
+
+  void say(const char* words) { std::printf("# %s\n", words); }
+  void busy(double part) { busy_ = part; }
+  // Lets the clock run to a time in ms, with every wake-up asked for.
+  void to(Nanos time) {
+    while (wake_ <= time * ms) {
+      now_ = wake_;
+      choice_->woken(now_, WakeId{1}, std::span(&busy_, 1));
+    }
+    now_ = time * ms;
+  }
+  void after(Nanos time) { to(now_ / ms + time); }
+  // Lets the clock jump as it does for a process that stood still: the wake-ups come late.
+  void stand_still(Nanos time) {
+    now_ += time * ms;
+    wake_ = std::max(wake_, now_);
+  }
+  void read(unsigned id, Read r = {}) {
+    choice_->op_read(now_, OpId{id}, OpTypeId{r.type}, TenantId{r.tenant}, KeyId{r.key}, CallerId{r.caller},
+                     r.patience * ms, r.waited * ms, 0, r.kb, 0.5, r.again, r.earlier);
+  }
+  void gone(unsigned id) { choice_->op_gone(now_, OpId{id}); }
+  void ended(unsigned id, Outcome outcome = Outcome::done, Nanos lag = 100) {
+    running.erase(OpId{id});
+    choice_->run_ended(now_, OpId{id}, outcome, lag * ms);
+  }
+  void wants_call(unsigned id) { choice_->call_wanted(now_, OpId{id}); }
+  void called(unsigned id, Outcome outcome = Outcome::done, Nanos lag = 50) {
+    choice_->call_ended(now_, OpId{id}, outcome, lag * ms);
+  }
+  void drain(Nanos left) { choice_->drain(now_, left * ms); }
+};
