--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,16 +41,18 @@
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double last_sureness = 0.15;   // under this chance of being in time an op is not begun
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
-constexpr int failures_to_open = 5;      // calls failing in a row: as the operators' staff know it
-constexpr Nanos open_first = 250 * ms;   // the breaker's first rest, then doubled: some round trips
-constexpr Nanos open_most = 4 * second;  // its longest: a dependency comes back within some seconds
-constexpr Nanos count_span = 500 * ms;   // over which nacks are counted for what callers are told
-constexpr double rate_keep = 0.8;        // part of the rate before that a count leaves: about two seconds
-constexpr double openness_step = 0.05;   // raised a count without nacks: back within ten seconds
-constexpr double openness_cut = 0.8;     // lowered a count with nacks
-constexpr double openness_least = 0.1;   // never shut: some traffic must tell when it may open again
-constexpr double nacks_felt = 0.05;      // part of those read: fewer nacks are chance
-constexpr double tokens_per_cap = 3;     // ops out here for each allowed to run, at full openness
+constexpr Nanos call_tail =
+    2; // times the 95th of 100 calls after a failure, four else: what takes longer is lost
+constexpr int failures_to_open = 5;     // calls failing in a row: as the operators' staff know it
+constexpr Nanos open_first = 250 * ms;  // the breaker's first rest, then doubled: some round trips
+constexpr Nanos open_most = 4 * second; // its longest: a dependency comes back within some seconds
+constexpr Nanos count_span = 500 * ms;  // over which nacks are counted for what callers are told
+constexpr double rate_keep = 0.8;       // part of the rate before that a count leaves: about two seconds
+constexpr double openness_step = 0.05;  // raised a count without nacks: back within ten seconds
+constexpr double openness_cut = 0.8;    // lowered a count with nacks
+constexpr double openness_least = 0.1;  // never shut: some traffic must tell when it may open again
+constexpr double nacks_felt = 0.05;     // part of those read: fewer nacks are chance
+constexpr double tokens_per_cap = 3;    // ops out here for each allowed to run, at full openness
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -73,6 +75,7 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = static_cast<Nanos>(number(given, "fresh_for_ns", 0));
   call_share_ = number(given, "call_share", 0);
+  several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = static_cast<Nanos>(number(given, "call_linger_ns", 0));
   const std::string halt = text(given, "halt", "none");
   halt_ = halt == "pause" ? Halt::pause : halt == "drop" ? Halt::drop : Halt::none;
@@ -192,7 +195,7 @@
   std::vector<Op*> out;
   std::vector<Op*> kept;
   for (Op* op : held_) {
-    if (!winnable(*op, now, last_sureness) && types_[op->type.raw].late_share == 0) {
+    if (!winnable(*op, now, last_sureness)) {
       out.push_back(op);
       continue;
     }
@@ -401,8 +404,13 @@
   for (Op* op : parked) {
     if (op->answered) continue;
     const OpType& type = types_[op->type.raw];
+    // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
+    // against a part of them being cut off or hung; a dependency that all share would only be asked twice.
+    const Nanos usual = several_below_ && call_time_.total() >= enough
+                            ? (failures_in_row_ > 0 ? call_tail : 2 * call_tail) * call_time_.quantile(0.95)
+                            : op->due - now;
     const Nanos until = std::max(win_by(*op) - core_time(*op) / 2, now + 2 * tick);
-    const Nanos time_out = std::min(type.without_share > 0 ? until : op->due, op->due) - now;
+    const Nanos time_out = std::min({type.without_share > 0 ? until : op->due, op->due, now + usual}) - now;
     if (!op->call_may_have_run && breaker_lets(now) && call_fits(now, time_out) && time_out > 0) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -124,6 +124,7 @@
   Nanos fresh_for_ = 0;
 
   double call_share_ = 0; // 0: no such bound
+  bool several_below_ = false; // calls go to servers of a next tier, by a balancer
   Nanos linger_ = 0;
   WindowMean calls_;
   std::vector<Nanos> lingering_; // ends of the stays of calls given up
