--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,19 +25,19 @@
 constexpr Nanos second = 1000 * ms;
 
 constexpr Nanos tick = 20 * ms; // between looks at dues and gauges: a third of the least slack asked for
-constexpr Nanos gauge_span = 500 * ms;   // what the gauge of the cores averages over
-constexpr double free_below = 0.9;       // part of the cores busy: under it they read free, noise allowed for
-constexpr double cap_growth = 1.25;      // a tick: doubles within four, fast against a gauge of half a second
-constexpr double cap_cut = 0.85;         // a cut: undoes about one step of growth
-constexpr Nanos cut_every = 500 * ms;    // between cuts: as long as the gauge takes to show the last
-constexpr double crowded_latency = 2;    // times the base: the design's figure
-constexpr double crowd_part = 0.85;      // of the survivable crowd: room for what resumes unasked
-constexpr double memory_part = 0.95;     // of the memory: room for ops read in the same instant
-constexpr double calls_part = 0.9;       // of the share of calls: room for the time a reply takes
-constexpr float long_memory = 64; // ops until a histogram is halved: some ten seconds of work of one op type
-constexpr float short_memory = 24;       // the same for what is to show the last seconds
-constexpr float enough = 8;              // ops in a histogram before it is believed
-constexpr double later_try = 0.9;        // of a caller's usual patience: less is a later try, not jitter
+constexpr Nanos gauge_span = 500 * ms; // what the gauge of the cores averages over
+constexpr double free_below = 0.9;     // part of the cores busy: under it they read free, noise allowed for
+constexpr double cap_growth = 1.25;    // a tick: doubles within four, fast against a gauge of half a second
+constexpr double cap_cut = 0.85;       // a cut: undoes about one step of growth
+constexpr Nanos cut_every = 500 * ms;  // between cuts: as long as the gauge takes to show the last
+constexpr double crowded_latency = 2;  // times the base: the design's figure
+constexpr double crowd_part = 0.85;    // of the survivable crowd: room for what resumes unasked
+constexpr double memory_part = 0.95;   // of the memory: room for ops read in the same instant
+constexpr double calls_part = 0.9;     // of the share of calls: room for the time a reply takes
+constexpr float long_memory = 64;  // ops until a histogram is halved: some ten seconds of work of one op type
+constexpr float short_memory = 24; // the same for what is to show the last seconds
+constexpr float enough = 8;        // ops in a histogram before it is believed
+constexpr double later_try = 0.9;  // of a caller's usual patience: less is a later try, not jitter
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double last_sureness = 0.15;   // under this chance of being in time an op is not begun
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
@@ -409,9 +409,18 @@
     const Nanos usual = several_below_ && call_time_.total() >= enough
                             ? (failures_in_row_ > 0 ? call_tail : 2 * call_tail) * call_time_.quantile(0.95)
                             : op->due - now;
-    const Nanos until = std::max(win_by(*op) - core_time(*op) / 2, now + 2 * tick);
-    const Nanos time_out = std::min({type.without_share > 0 ? until : op->due, op->due, now + usual}) - now;
-    if (!op->call_may_have_run && breaker_lets(now) && call_fits(now, time_out) && time_out > 0) {
+    const Nanos left = win_by(*op) - core_time(*op) / 2 - now;
+    // An op that can't be in time any more ends here; what it still would take is better spent on others. A
+    // keyed one goes on, since a repeat could not be run.
+    if (left <= 0 && type.repeats == Repeats::retryable && type.late_share == 0) {
+      give_up(now, *op);
+      continue;
+    }
+    const bool skippable = type.without_share > 0 && left > 0;
+    const Nanos time_out = std::min({skippable ? left : op->due - now, op->due - now, usual});
+    const bool fits =
+        time_out > 0 && (!skippable || call_time_.total() < enough || left >= call_time_.quantile(0.5));
+    if (!op->call_may_have_run && breaker_lets(now) && call_fits(now, time_out) && fits) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
       op->called_at = now;
