--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,6 +40,7 @@
 constexpr double later_try = 0.9;  // of a caller's usual patience: less is a later try, not jitter
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double last_sureness = 0.15;   // under this chance of being in time an op is not begun
+constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail =
     2; // times the 95th of 100 calls after a failure, four else: what takes longer is lost
@@ -152,21 +153,29 @@
 
 // ---- the hold
 
+// Lengths are kept by the second of an op's hint, so that they show this server's speed; without hints every
+// op counts as a second.
 Nanos Choice::core_time(const Op& op) const {
   const OpType& type = types_[op.type.raw];
   if (type.core_time.total() < enough)
     return static_cast<Nanos>(unknown_run * static_cast<double>(type.target_latency));
-  return static_cast<Nanos>(type.core_time.mean());
+  return static_cast<Nanos>(type.core_time.mean() * op.hint);
+}
+
+Nanos Choice::run_time(const Op& op, double sureness) const {
+  const OpType& type = types_[op.type.raw];
+  if (type.run_time.total() < enough) return core_time(op);
+  return static_cast<Nanos>(static_cast<double>(type.run_time.quantile(sureness)) * op.hint);
 }
 
 Nanos Choice::win_by(const Op& op) const {
-  return std::min(op.first_seen + types_[op.type.raw].target_latency, op.due);
+  const OpType& type = types_[op.type.raw];
+  const Nanos stretch = static_cast<Nanos>(type.target_stretch * static_cast<double>(core_time(op)));
+  return std::min(op.first_seen + std::min(type.target_latency + stretch, type.op_timeout), op.due);
 }
 
 bool Choice::winnable(const Op& op, Nanos begin, double sureness) const {
-  const OpType& type = types_[op.type.raw];
-  const Nanos run = type.run_time.total() < enough ? core_time(op) : type.run_time.quantile(sureness);
-  return begin + run <= win_by(op);
+  return begin + run_time(op, sureness) <= win_by(op);
 }
 
 double Choice::density(const Op& op) const {
@@ -184,9 +193,7 @@
 // elsewhere. Guards against a line in which all are late; harms if runs are taken for longer than they are.
 void Choice::plan(Nanos now) {
   std::stable_sort(held_.begin(), held_.end(), [this](const Op* a, const Op* b) {
-    const auto latest = [this](const Op* o) {
-      return win_by(*o) - types_[o->type.raw].run_time.quantile(planned_sureness);
-    };
+    const auto latest = [this](const Op* o) { return win_by(*o) - run_time(*o, planned_sureness); };
     return latest(a) < latest(b);
   });
   double ahead =
@@ -273,9 +280,10 @@
   memory_kb_ -= op.held_kb * (run_factor_ - 1);
   if (outcome == Outcome::done) {
     OpType& type = types_[op.type.raw];
-    type.run_time.note(lag);
-    type.core_time.note(op.on_core);
-    type.recent.note(op.on_core);
+    const Nanos core = static_cast<Nanos>(static_cast<double>(op.on_core) / op.hint);
+    type.run_time.note(static_cast<Nanos>(static_cast<double>(lag) / op.hint));
+    type.core_time.note(core);
+    type.recent.note(core);
     const Nanos usual = type.recent.quantile(0.5);
     if (type.recent.total() >= enough)
       type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / 256);
@@ -306,7 +314,8 @@
     server_.forget_key(op.id);
     keys_.erase(op.id);
   }
-  server_.nack(op.id, !winnable(op, now, last_sureness), stay_away(now));
+  const bool hopeless = now + run_time(op, last_sureness) / faster_elsewhere > win_by(op);
+  server_.nack(op.id, hopeless, stay_away(now));
   forget(op);
 }
 
@@ -524,7 +533,7 @@
   op.caller = caller;
   op.earlier = earlier;
   op.arrived = now - waited;
-  op.hint = hint;
+  op.hint = hint > 0 ? static_cast<double>(hint) / static_cast<double>(second) : 1;
   op.held_kb = held_kb;
   op.rank = rank;
   op.again = again;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -62,6 +62,7 @@
   double survivable(Nanos now) const;
   // The hold.
   Nanos core_time(const Op& op) const;
+  Nanos run_time(const Op& op, double sureness) const;
   Nanos win_by(const Op& op) const;
   bool winnable(const Op& op, Nanos start, double sureness) const;
   double density(const Op& op) const;
@@ -123,7 +124,7 @@
   std::map<OpId, Nanos> keys_; // kept entries and the ends of their times
   Nanos fresh_for_ = 0;
 
-  double call_share_ = 0; // 0: no such bound
+  double call_share_ = 0;      // 0: no such bound
   bool several_below_ = false; // calls go to servers of a next tier, by a balancer
   Nanos linger_ = 0;
   WindowMean calls_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -81,7 +81,7 @@
   Nanos on_core_since = 0;
   Nanos on_core = 0; // time spent on the cores so far
   Nanos called_at = 0;
-  Nanos hint = 0;
+  double hint = 1; // seconds of work by the caller's guess; 1 if it made none
   double held_kb = 0;
   double rank = 0;
   double worth = 0;
