--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,7 +39,7 @@
 constexpr float enough = 8;        // ops in a histogram before it is believed
 constexpr double later_try = 0.9;  // of a caller's usual patience: less is a later try, not jitter
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
-constexpr double last_sureness = 0.15;   // under this chance of being in time an op is not begun
+constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail =
@@ -533,7 +533,7 @@
   op.caller = caller;
   op.earlier = earlier;
   op.arrived = now - waited;
-  op.hint = hint > 0 ? static_cast<double>(hint) / static_cast<double>(second) : 1;
+  op.hint = hint > 0 ? std::sqrt(static_cast<double>(hint) / static_cast<double>(second)) : 1;
   op.held_kb = held_kb;
   op.rank = rank;
   op.again = again;
