--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,6 +53,7 @@
 constexpr double openness_cut = 0.8;    // lowered a count with nacks
 constexpr double openness_least = 0.1;  // never shut: some traffic must tell when it may open again
 constexpr double nacks_felt = 0.05;     // part of those read: fewer nacks are chance
+constexpr double rank_step = 0.05;         // of a nacked op's rank in their mean: the last twenty or so
 constexpr double tokens_per_cap = 3;    // ops out here for each allowed to run, at full openness
 
 template <class T>
@@ -310,6 +311,7 @@
 void Choice::turn_away(Nanos now, Op& op) {
   if (op.ran) return give_up(now, op);
   ++nacked_lately_;
+  nacked_rank_ += (op.rank - nacked_rank_) * rank_step;
   if (op.kept) {
     server_.forget_key(op.id);
     keys_.erase(op.id);
@@ -503,7 +505,7 @@
   case Say::nothing:
     return;
   case Say::level:
-    value = 1 - open;
+    value = drained_at_ >= 0 ? 1 : std::min(1 - open, nacked_rank_);
     break;
   case Say::bias:
     value = open;
