Grow the cap only while fewer than the cores are wanted at that moment

Cause: the gauge of the cores averages half a second. A cold server that all callers find at once (stale list refreshed) read free for long enough to grow the cap to 28 running on 6 cores, and took seconds to dig itself out. Should also hold against bursts anywhere. It may harm where reading alone keeps the cores wanted: the cap then stays where it is.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,7 +53,7 @@
 constexpr double openness_cut = 0.8;    // lowered a count with nacks
 constexpr double openness_least = 0.1;  // never shut: some traffic must tell when it may open again
 constexpr double nacks_felt = 0.05;     // part of those read: fewer nacks are chance
-constexpr double rank_step = 0.05;         // of a nacked op's rank in their mean: the last twenty or so
+constexpr double rank_step = 0.05;      // of a nacked op's rank in their mean: the last twenty or so
 constexpr double tokens_per_cap = 3;    // ops out here for each allowed to run, at full openness
 
 template <class T>
@@ -93,7 +93,10 @@
   by_work_ = text(given, "value_by", "op") == "work";
   grace_ = static_cast<Nanos>(needed(given, "drain_grace_ns", 0));
   for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g)
-    if (text(given, "gauge." + std::to_string(g), "") == "cores_busy") busy_gauge_ = g;
+    if (const std::string gauge = text(given, "gauge." + std::to_string(g), ""); gauge == "cores_busy")
+      busy_gauge_ = g;
+    else if (gauge == "on_cores")
+      wanting_gauge_ = g;
   for (int t = 0; given.contains("op_type." + std::to_string(t) + ".op_timeout_ns"); ++t) {
     const std::string at = "op_type." + std::to_string(t) + ".";
     OpType type{.run_time = Histogram(long_memory),
@@ -133,12 +136,17 @@
 }
 
 // Growth wins over the cut. The gauge is believed only where ops were held for all of its span and runs get
-// on: against cores that read free because nothing moves (a hang), when more ops would only crowd them.
+// on: against cores that read free because nothing moves (a hang), when more ops would only crowd them. As it
+// lags, the cores count as free only if fewer than there are of them are wanted at this moment: against
+// growing on a reading from before a rush, as at a cold server that all callers find at once.
 void Choice::steer_cap(Nanos now) {
   const bool waiting = !held_.empty() && now - held_since_ >= gauge_span;
   const bool moving = now - ended_at_ < gauge_span;
-  if (waiting && moving && busy_ < free_below && on_core_ >= static_cast<int>(cap_)) {
+  const bool free =
+      busy_ < free_below && (wanting_core_ >= 0 ? wanting_core_ < cores_ : now - grown_at_ >= gauge_span);
+  if (waiting && moving && free && on_core_ >= static_cast<int>(cap_)) {
     cap_ *= cap_growth;
+    grown_at_ = now;
   } else if (busy_ >= free_below && now - cut_at_ >= cut_every) {
     for (const OpType& type : types_) {
       if (type.base == 0 || type.recent.total() < enough) continue;
@@ -628,7 +636,12 @@
 
 void Choice::woken(Nanos now, WakeId, std::span<const double> gauges) {
   now_ = now;
-  if (busy_gauge_ >= 0 && static_cast<std::size_t>(busy_gauge_) < gauges.size()) busy_ = gauges[busy_gauge_];
+  const auto read = [&](int gauge, double& into) {
+    if (gauge >= 0 && static_cast<std::size_t>(gauge) < gauges.size())
+      into = gauges[static_cast<std::size_t>(gauge)];
+  };
+  read(busy_gauge_, busy_);
+  read(wanting_gauge_, wanting_core_);
   calls_.advance(now);
   std::erase_if(lingering_, [&](Nanos end) {
     if (end > now) return false;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -115,7 +115,9 @@
   Nanos held_since_ = 0;
   Nanos cut_at_ = 0;
   Nanos ended_at_ = 0; // when a run last ended or came to a call
-  double busy_ = 0;
+  Nanos grown_at_ = 0;
+  double busy_ = 1;
+  double wanting_core_ = -1; // runs, reading and the like that want a core now; -1: not told
 
   double memory_kb_ = 0;
   double memory_limit_ = 0;
@@ -149,6 +151,7 @@
   double over_share_worth_ = 1;
   bool by_work_ = false;
   int busy_gauge_ = -1;
+  int wanting_gauge_ = -1;
 
   Nanos grace_ = 0;
   Nanos drained_at_ = -1; // -1: not told to leave
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -3,6 +3,7 @@
 
 #include "choice.hpp"
 
+#include <array>
 #include <cstdio>
 #include <initializer_list>
 #include <memory>
@@ -28,23 +29,30 @@
   std::unique_ptr<Choice> choice_;
   Nanos now_ = 0;
   Nanos wake_ = 0;
-  double busy_ = 1;
+  std::array<double, 2> gauges_{1, 0};
 
   void line(const char* what, OpId op) {
+    if (quiet) return;
     std::printf("%6lld  %s %llu\n", at(), what, static_cast<unsigned long long>(op.raw));
   }
   long long at() const { return static_cast<long long>(now_ / ms); }
 
  public:
   std::set<OpId> running; // started, and not ended by the test
+  bool quiet = false;     // runs and answers are not printed
 
   // Two cores, a retryable type 0 and a keyed type 1; what `more` names is changed or added.
   explicit Scene(std::initializer_list<Given::value_type> more = {},
                  std::initializer_list<const char*> without = {}) {
-    Given given{{"cores", 2.0},         {"fall_multiple", 4.0},
-                {"memory_kb", 10000.0}, {"run_factor", 4.0},
-                {"key_kb", 5.0},        {"drain_grace_ns", 2e9},
-                {"fleet_size", 1.0},    {"gauge.0", std::string("cores_busy")},
+    Given given{{"cores", 2.0},
+                {"fall_multiple", 4.0},
+                {"memory_kb", 10000.0},
+                {"run_factor", 4.0},
+                {"key_kb", 5.0},
+                {"drain_grace_ns", 2e9},
+                {"fleet_size", 1.0},
+                {"gauge.0", std::string("cores_busy")},
+                {"gauge.1", std::string("on_cores")},
                 {"callers", 2.0}};
     for (const char* type : {"op_type.0.", "op_type.1."}) {
       given[std::string(type) + "op_timeout_ns"] = 4e9;
@@ -87,12 +95,12 @@
   }
 
   void say(const char* words) { std::printf("# %s\n", words); }
-  void busy(double part) { busy_ = part; }
+  void gauges(double busy, double wanted) { gauges_ = {busy, wanted}; }
   // Lets the clock run to a time in ms, with every wake-up asked for.
   void to(Nanos time) {
     while (wake_ <= time * ms) {
       now_ = wake_;
-      choice_->woken(now_, WakeId{1}, std::span(&busy_, 1));
+      choice_->woken(now_, WakeId{1}, gauges_);
     }
     now_ = time * ms;
   }
