--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -52,9 +52,10 @@
 constexpr double openness_step = 0.05;  // raised a count without nacks: back within ten seconds
 constexpr double openness_cut = 0.8;    // lowered a count with nacks
 constexpr double openness_least = 0.1;  // never shut: some traffic must tell when it may open again
-constexpr double nacks_felt = 0.05;     // part of those read: fewer nacks are chance
-constexpr double rank_step = 0.05;      // of a nacked op's rank in their mean: the last twenty or so
-constexpr double tokens_per_cap = 3;    // ops out here for each allowed to run, at full openness
+constexpr Nanos unread_part = 8;     // of the target latency: waiting longer than that to be read is a line
+constexpr double nacks_felt = 0.05;  // part of those read: fewer nacks are chance
+constexpr double rank_step = 0.05;   // of a nacked op's rank in their mean: the last twenty or so
+constexpr double tokens_per_cap = 3; // ops out here for each allowed to run, at full openness
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -500,10 +501,10 @@
 void Choice::tell(Nanos now) {
   if (now - counted_from_ >= count_span) {
     const double span = static_cast<double>(now - counted_from_) / static_cast<double>(second);
-    const bool crowded = nacked_lately_ > nacks_felt * read_lately_;
+    const bool crowded = nacked_lately_ + unread_lately_ > nacks_felt * read_lately_;
     openness_ = crowded ? std::max(openness_least, openness_ * openness_cut)
                         : std::min(1.0, openness_ + openness_step);
-    read_lately_ = nacked_lately_ = 0;
+    read_lately_ = nacked_lately_ = unread_lately_ = 0;
     counted_from_ = now;
     for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, span / 0.5);
   }
@@ -560,6 +561,8 @@
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
   ++read_lately_;
+  // Unread ops are seen by how long they have waited once read: a line no nack shows.
+  if (waited > type.target_latency / unread_part) ++unread_lately_;
   if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) / 0.5;
 
   if (earlier != no_op && reuse_earlier(now, op)) return;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -146,6 +146,7 @@
   Nanos max_stay_away_ = 0;
   double read_lately_ = 0;
   double nacked_lately_ = 0;
+  double unread_lately_ = 0; // of those read, the ones that waited long for it
   double nacked_rank_ = 0; // mean rank of those nacked last
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
