--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,6 +41,8 @@
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
+constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
+constexpr double guess_weight = 8;       // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail =
     2; // times the 95th of 100 calls after a failure, four else: what takes longer is lost
@@ -164,7 +166,7 @@
 // ---- the hold
 
 // Lengths are kept by the second of an op's hint, so that they show this server's speed; without hints every
-// op counts as a second.
+// op counts as a second. As guesses are rough, of their spread only so much counts as was seen in the runs.
 Nanos Choice::core_time(const Op& op) const {
   const OpType& type = types_[op.type.raw];
   if (type.core_time.total() < enough)
@@ -291,6 +293,7 @@
   if (outcome == Outcome::done) {
     OpType& type = types_[op.type.raw];
     const Nanos core = static_cast<Nanos>(static_cast<double>(op.on_core) / op.hint);
+    if (op.guess > 0 && op.on_core > 0) guess_slope_.note(op.guess, static_cast<double>(op.on_core));
     type.run_time.note(static_cast<Nanos>(static_cast<double>(lag) / op.hint));
     type.core_time.note(core);
     type.recent.note(core);
@@ -544,7 +547,8 @@
   op.caller = caller;
   op.earlier = earlier;
   op.arrived = now - waited;
-  op.hint = hint > 0 ? std::sqrt(static_cast<double>(hint) / static_cast<double>(second)) : 1;
+  op.guess = static_cast<double>(hint) / static_cast<double>(second);
+  op.hint = hint > 0 ? std::pow(op.guess, guess_slope_.value(guess_trust, guess_weight)) : 1;
   op.held_kb = held_kb;
   op.rank = rank;
   op.again = again;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -99,6 +99,7 @@
   Nanos born_;
   std::vector<OpType> types_;
   std::vector<Tenant> tenants_;
+  Slope guess_slope_; // how run times follow the callers' guesses
   std::map<OpId, Op> ops_;
   std::vector<Op*> held_;    // in the order of their latest starts once planned
   std::vector<Op*> at_call_; // parked at a call, in the order of coming there
@@ -147,7 +148,7 @@
   double read_lately_ = 0;
   double nacked_lately_ = 0;
   double unread_lately_ = 0; // of those read, the ones that waited long for it
-  double nacked_rank_ = 0; // mean rank of those nacked last
+  double nacked_rank_ = 0;   // mean rank of those nacked last
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
   bool by_work_ = false;
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <bit>
+#include <cmath>
 
 namespace cometshift {
 
@@ -60,6 +61,27 @@
   }
 };
 
+// How the logarithm of one size follows that of another: 1 in full, 0 not at all.
+class Slope {
+  static constexpr double step = 1.0 / 128;
+  double x_ = 0, y_ = 0, xx_ = 0, xy_ = 0, seen_ = 0;
+
+ public:
+  void note(double x, double y) {
+    const double lx = std::log(x), ly = std::log(y), by = std::max(step, 1 / ++seen_);
+    const double dx = lx - x_, dy = ly - y_;
+    x_ += by * dx;
+    y_ += by * dy;
+    xx_ += by * ((1 - by) * dx * dx - xx_);
+    xy_ += by * ((1 - by) * dx * dy - xy_);
+  }
+  // Pulled to `prior`, which counts as `weight` of those seen, at unit spread.
+  double value(double prior, double weight) const {
+    const double seen = std::min(seen_, 1 / step);
+    return std::clamp((xy_ * seen + prior * weight) / (xx_ * seen + weight), 0.0, 1.0);
+  }
+};
+
 // The mean of a count over a sliding window, kept in a few slices.
 class WindowMean {
   static constexpr int slices = 16;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -81,7 +81,8 @@
   Nanos on_core_since = 0;
   Nanos on_core = 0; // time spent on the cores so far
   Nanos called_at = 0;
-  double hint = 1; // seconds of work by the caller's guess; 1 if it made none
+  double guess = 0; // the caller's, of its work on a standard core in seconds; 0: none made
+  double hint = 1;  // what is made of it
   double held_kb = 0;
   double rank = 0;
   double worth = 0;
