Send first tries of ops too big for these cores on to others

Also for slow machines and cold ones: whatever makes the predicted run too long. It may harm where all servers are as slow: an op is read twice.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,6 +39,7 @@
 constexpr float enough = 8;        // ops in a histogram before it is believed
 constexpr double later_try = 0.9;  // of a caller's usual patience: less is a later try, not jitter
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
+constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
 constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
 constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
@@ -93,6 +94,7 @@
   if (number(given, "stay_away_heeded", 0) != 0)
     max_stay_away_ = static_cast<Nanos>(number(given, "max_stay_away_ns", 0));
   over_share_worth_ = number(given, "over_share_worth", 1);
+  marks_again_ = number(given, "marks_retry", 0) != 0;
   by_work_ = text(given, "value_by", "op") == "work";
   grace_ = static_cast<Nanos>(needed(given, "drain_grace_ns", 0));
   for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g)
@@ -573,6 +575,12 @@
   if (drained_at_ >= 0 && (now > serve_until_ || op.arrived > drained_at_ + grace_))
     return turn_away(now, op);
   if (memory_with(0) > memory_part * memory_limit_) return turn_away(now, op);
+  // A big op that is likelier than not to be late on these cores is better off on faster ones. Only first
+  // tries are sent on, so that none is sent round, and only where further tries are told from them.
+  if (marks_again_ && !again && hint > 0 && !winnable(op, now, sent_on_sureness) &&
+      now + run_time(op, sent_on_sureness) / faster_elsewhere <= win_by(op)) {
+    return turn_away(now, op);
+  }
   const bool keyed = type.repeats == Repeats::keyed;
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && key != no_key;
   if (keyed && !keep(now, op)) return turn_away(now, op);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -152,6 +152,7 @@
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
   bool by_work_ = false;
+  bool marks_again_ = false; // callers mark further tries
   int busy_gauge_ = -1;
   int wanting_gauge_ = -1;
 
