--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -55,10 +55,12 @@
 constexpr double openness_step = 0.05;  // raised a count without nacks: back within ten seconds
 constexpr double openness_cut = 0.8;    // lowered a count with nacks
 constexpr double openness_least = 0.1;  // never shut: some traffic must tell when it may open again
-constexpr Nanos unread_part = 4;     // of the target latency: waiting longer than that to be read is a line
-constexpr double nacks_felt = 0.05;  // part of those read: fewer nacks are chance
-constexpr double rank_step = 0.05;   // of a nacked op's rank in their mean: the last twenty or so
-constexpr double tokens_per_cap = 3; // ops out here for each allowed to run, at full openness
+constexpr Nanos unread_part = 4; // of the target latency: waiting longer than that to be read is a line
+constexpr Nanos stood_still = 3 * tick; // between calls in: a process that runs is woken every tick
+constexpr double stall_runs = 10;       // mean runs without progress: chance does that once in thousands
+constexpr double nacks_felt = 0.05;     // part of those read: fewer nacks are chance
+constexpr double rank_step = 0.05;      // of a nacked op's rank in their mean: the last twenty or so
+constexpr double tokens_per_cap = 3;    // ops out here for each allowed to run, at full openness
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -125,19 +127,21 @@
   const double fleet = std::max(1.0, number(given, "fleet_size", 1));
   for (int t = 0; given.contains("tenant." + std::to_string(t) + ".quota"); ++t)
     tenants_.push_back({.quota = number(given, "tenant." + std::to_string(t) + ".quota", 0) / fleet});
-  ended_at_ = counted_from_ = now;
+  progress_at_ = counted_from_ = now;
   server_.health(true, true);
   server_.wake_at(now + tick, WakeId{1});
 }
 
 // ---- the cap
 
+double Choice::warmth(Nanos now) const {
+  if (!born_cold_ || warm_after_ <= 0) return 1;
+  const double age = static_cast<double>(now - born_) / static_cast<double>(warm_after_);
+  return std::min(1.0, cold_from_ + (1 - cold_from_) * age);
+}
+
 double Choice::survivable(Nanos now) const {
-  double warmth = 1;
-  if (born_cold_ && warm_after_ > 0)
-    warmth = std::min(1.0, cold_from_ + (1 - cold_from_) * static_cast<double>(now - born_) /
-                                            static_cast<double>(warm_after_));
-  return std::max(cores_, std::floor(crowd_part * cores_ * (1 + (fall_multiple_ - 1) * warmth)));
+  return std::max(cores_, std::floor(crowd_part * cores_ * (1 + (fall_multiple_ - 1) * warmth(now))));
 }
 
 // Growth wins over the cut. The gauge is believed only where ops were held for all of its span and runs get
@@ -146,7 +150,7 @@
 // growing on a reading from before a rush, as at a cold server that all callers find at once.
 void Choice::steer_cap(Nanos now) {
   const bool waiting = !held_.empty() && now - held_since_ >= gauge_span;
-  const bool moving = now - ended_at_ < gauge_span;
+  const bool moving = now - progress_at_ < gauge_span;
   const bool free =
       busy_ < free_below && (wanting_core_ >= 0 ? wanting_core_ < cores_ : now - grown_at_ >= gauge_span);
   if (waiting && moving && free && on_core_ >= static_cast<int>(cap_)) {
@@ -165,6 +169,47 @@
   cap_ = std::clamp(cap_, cores_, survivable(now));
 }
 
+// ---- the stall watch
+
+// The clock of every call in. A process that stood still sees its clock jump: that time is not its cores'
+// fault.
+void Choice::pass_to(Nanos now) {
+  if (now - now_ > stood_still) progress_at_ = std::min(now, progress_at_ + now - now_);
+  now_ = now;
+}
+
+// Guards against cores that stand still or crawl while ops go on being read: no run has ended or come to a
+// call for far longer than as many as run should take. Then nothing is taken, what is held is nacked so that
+// it can go elsewhere, and so are the retryable ops that hang on the cores; health turns bad until runs get
+// on again. It may harm a server on which one run is truly that long; such a run alone has to take many times
+// the mean.
+void Choice::watch(Nanos now) {
+  double work = 0;
+  double known = 0;
+  for (const OpType& type : types_) {
+    work += type.core_time.mean() * type.core_time.total();
+    known += type.core_time.total();
+  }
+  const double usual = known >= enough ? stall_runs * work / known / std::max(1, on_core_)
+                                       : static_cast<double>(types_.front().target_latency);
+  const Nanos patience = static_cast<Nanos>(usual / warmth(now));
+  if (on_core_ > 0 && !stalled_ && now - progress_at_ > std::max(patience, gauge_span)) {
+    stalled_ = true;
+    std::vector<Op*> hung;
+    for (auto& [id, op] : ops_)
+      if (op.stage == Stage::on_core && !op.answered) hung.push_back(&op);
+    for (Op* op : hung) {
+      op->hung = true;
+      if (types_[op->type.raw].repeats == Repeats::retryable) send_on(now, *op);
+    }
+  }
+  if (stalled_) good_from_ = now + gauge_span;
+  const bool good = drained_at_ < 0 && now >= good_from_;
+  if (good == good_) return;
+  good_ = good;
+  server_.health(good, true);
+}
+
 // ---- the hold
 
 // Lengths are kept by the second of an op's hint, so that they show this server's speed; without hints every
@@ -243,6 +288,12 @@
 
 void Choice::settle(Nanos now) {
   if (held_.empty()) return;
+  if (stalled_) {
+    const std::vector<Op*> line = held_;
+    for (Op* op : line) turn_away(now, *op);
+    held_since_ = 0;
+    return;
+  }
   plan(now);
   for (std::size_t i = 0; i < held_.size();) {
     Op& op = *held_[i];
@@ -276,14 +327,15 @@
 void Choice::join_core(Nanos now, Op& op) {
   op.stage = Stage::on_core;
   op.on_core_since = now;
-  ++on_core_;
+  if (on_core_++ == 0) progress_at_ = now;
 }
 
 void Choice::leave_core(Nanos now, Op& op) {
   if (op.stage != Stage::on_core) return;
   op.on_core += now - op.on_core_since;
   --on_core_;
-  ended_at_ = now;
+  progress_at_ = now;
+  stalled_ = false;
 }
 
 void Choice::after_run(Nanos now, Op& op, Outcome outcome, Nanos lag) {
@@ -292,7 +344,7 @@
   drop_from(at_call_, &op);
   --running_;
   memory_kb_ -= op.held_kb * (run_factor_ - 1);
-  if (outcome == Outcome::done) {
+  if (outcome == Outcome::done && !op.hung) {
     OpType& type = types_[op.type.raw];
     const Nanos core = static_cast<Nanos>(static_cast<double>(op.on_core) / op.hint);
     if (op.guess > 0 && op.on_core > 0) guess_slope_.note(op.guess, static_cast<double>(op.on_core));
@@ -335,6 +387,13 @@
   forget(op);
 }
 
+// Nacks a retryable op off the cores: its run is worth nothing here and may be made elsewhere.
+void Choice::send_on(Nanos now, Op& op) {
+  server_.nack(op.id, false, stay_away(now));
+  op.answered = true;
+  if (halt_ != Halt::none) server_.halt(op.id);
+}
+
 // Fails an op wherever it stands. One on the cores is halted where that can be done, else it runs on unheard.
 void Choice::give_up(Nanos now, Op& op) {
   server_.fail(op.id);
@@ -498,6 +557,7 @@
 // ---- what callers are told
 
 Nanos Choice::stay_away(Nanos) const {
+  if (stalled_) return max_stay_away_;
   double line = 0;
   for (const Op* op : held_) line += static_cast<double>(core_time(*op));
   return std::min(max_stay_away_, static_cast<Nanos>(line / cap_));
@@ -514,12 +574,12 @@
     for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, span / 0.5);
   }
   double value = 0;
-  const double open = drained_at_ >= 0 ? 0 : openness_;
+  const double open = drained_at_ >= 0 || stalled_ ? 0 : openness_;
   switch (say_) {
   case Say::nothing:
     return;
   case Say::level:
-    value = drained_at_ >= 0 ? 1 : std::min(1 - open, nacked_rank_);
+    value = open <= 0 ? 1 : std::min(1 - open, nacked_rank_);
     break;
   case Say::bias:
     value = open;
@@ -538,7 +598,7 @@
 void Choice::op_read(Nanos now, OpId id, OpTypeId type_id, TenantId tenant, KeyId key, CallerId caller,
                      Nanos patience, Nanos waited, Nanos hint, double held_kb, double rank, bool again,
                      OpId earlier) {
-  now_ = now;
+  pass_to(now);
   if (type_id.raw >= types_.size()) throw std::invalid_argument("an op of an unknown op type");
   OpType& type = types_[type_id.raw];
   Op& op = ops_[id];
@@ -594,7 +654,7 @@
 }
 
 void Choice::op_gone(Nanos now, OpId id) {
-  now_ = now;
+  pass_to(now);
   const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   Op& op = at->second;
@@ -617,7 +677,7 @@
 }
 
 void Choice::run_ended(Nanos now, OpId id, Outcome outcome, Nanos lag) {
-  now_ = now;
+  pass_to(now);
   const auto at = ops_.find(id);
   if (at == ops_.end() || !at->second.when_ended) return;
   const Op::Next next = std::move(at->second.when_ended);
@@ -627,7 +687,7 @@
 }
 
 void Choice::call_wanted(Nanos now, OpId id) {
-  now_ = now;
+  pass_to(now);
   const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   leave_core(now, at->second);
@@ -639,7 +699,7 @@
 }
 
 void Choice::call_ended(Nanos now, OpId id, Outcome outcome, Nanos lag) {
-  now_ = now;
+  pass_to(now);
   note_call(now, outcome, lag);
   const auto at = ops_.find(id);
   if (at == ops_.end() || at->second.stage != Stage::calling) return;
@@ -650,7 +710,7 @@
 }
 
 void Choice::woken(Nanos now, WakeId, std::span<const double> gauges) {
-  now_ = now;
+  pass_to(now);
   const auto read = [&](int gauge, double& into) {
     if (gauge >= 0 && static_cast<std::size_t>(gauge) < gauges.size())
       into = gauges[static_cast<std::size_t>(gauge)];
@@ -665,6 +725,7 @@
   });
   std::erase_if(keys_, [&](const auto& entry) { return entry.second <= now; });
   overdue(now);
+  watch(now);
   steer_cap(now);
   place_calls(now);
   settle(now);
@@ -675,10 +736,11 @@
 // The stored health turns bad at once. Ops are served for a shutdown delay that ends by the grace and early
 // enough for a run to end before the kill; all that was read is answered before it.
 void Choice::drain(Nanos now, Nanos until_kill) {
-  now_ = now;
+  pass_to(now);
   if (drained_at_ >= 0) return;
   drained_at_ = now;
-  server_.health(false, true);
+  if (good_) server_.health(false, true);
+  good_ = false;
   answer_by_ = now + until_kill - 2 * tick;
   Nanos run = 0;
   for (const OpType& type : types_) run = std::max(run, type.run_time.quantile(planned_sureness));
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -59,7 +59,11 @@
 
   // The cap on running ops.
   void steer_cap(Nanos now);
+  double warmth(Nanos now) const;
   double survivable(Nanos now) const;
+  // The stall watch.
+  void pass_to(Nanos now);
+  void watch(Nanos now);
   // The hold.
   Nanos core_time(const Op& op) const;
   Nanos run_time(const Op& op, double sureness) const;
@@ -73,6 +77,7 @@
   void after_run(Nanos now, Op& op, Outcome outcome, Nanos lag);
   // Final answers.
   void turn_away(Nanos now, Op& op);
+  void send_on(Nanos now, Op& op);
   void give_up(Nanos now, Op& op);
   void overdue(Nanos now);
   void forget(Op& op);
@@ -115,7 +120,10 @@
   int on_core_ = 0;
   Nanos held_since_ = 0;
   Nanos cut_at_ = 0;
-  Nanos ended_at_ = 0; // when a run last ended or came to a call
+  Nanos progress_at_ = 0; // when a run last ended or came to a call
+  bool stalled_ = false;
+  bool good_ = true; // the stored health
+  Nanos good_from_ = 0;
   Nanos grown_at_ = 0;
   double busy_ = 1;
   double wanting_core_ = -1; // runs, reading and the like that want a core now; -1: not told
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -90,6 +90,7 @@
   bool kept = false;
   bool ran = false;      // has been started here, ever
   bool answered = false; // its final answer is given, or nobody waits; the run goes on
+  bool hung = false;     // stood on cores that stood still
   bool call_may_have_run = false;
   Stage stage = Stage::held;
   Next when_ended;
