--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,11 +40,12 @@
 constexpr double later_try = 0.9;  // of a caller's usual patience: less is a later try, not jitter
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
-constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
-constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
-constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
-constexpr double guess_weight = 8;       // ops that this trust weighs as much as
-constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
+constexpr double hold_part = 0.25;      // of the target latency: a longer wait leaves no time to go elsewhere
+constexpr double last_sureness = 0.05; // under this chance of being in time an op is not begun
+constexpr Nanos faster_elsewhere = 2;  // times: another server may be as much faster than this one
+constexpr double guess_trust = 0.5;    // of the spread of a caller's guess, before its worth is known
+constexpr double guess_weight = 8;     // ops that this trust weighs as much as
+constexpr double unknown_run = 0.25;   // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail =
     2; // times the 95th of 100 calls after a failure, four else: what takes longer is lost
 constexpr int failures_to_open = 5;     // calls failing in a row: as the operators' staff know it
@@ -269,7 +270,9 @@
     const double work = static_cast<double>(core_time(*op));
     const Nanos begin = now + static_cast<Nanos>((ahead * work + line) / cap_);
     line += work;
-    if (begin == now || winnable(*op, begin, planned_sureness)) continue;
+    const bool soon = static_cast<double>(begin - now) <=
+                      hold_part * static_cast<double>(types_[op->type.raw].target_latency);
+    if (begin == now || (soon && winnable(*op, begin, planned_sureness))) continue;
     const auto worst = std::min_element(
         kept.begin(), kept.end(), [this](const Op* a, const Op* b) { return density(*a) < density(*b); });
     line -= static_cast<double>(core_time(**worst));
--- a/tests/cap.cpp
+++ b/tests/cap.cpp
@@ -17,7 +17,10 @@
 }
 
 int main() {
-  Scene s;
+  Scene s({{"op_type.0.target_latency_ns", 2e10},
+           {"op_type.0.op_timeout_ns", 4e10},
+           {"op_type.1.target_latency_ns", 2e10},
+           {"op_type.1.op_timeout_ns", 4e10}});
   s.say("as many as there are cores run at first; busy cores don't let it grow");
   for (unsigned id = 1; id <= 7; ++id) s.read(id, {.type = id % 2});
   s.to(700);
--- /dev/null
+++ b/tests/hold.cpp
@@ -0,0 +1,35 @@
+#include "scene.hpp"
+
+// Teaches a scene that runs take 400 ms of a target latency of 2 s.
+static void learn(Scene& s) {
+  s.quiet = true;
+  for (unsigned id = 101; id <= 120; ++id) {
+    s.read(id, {.type = id % 2});
+    s.after(400);
+    s.ended(id, Outcome::done, 400);
+  }
+  s.quiet = false;
+}
+
+int main() {
+  Scene s;
+  learn(s);
+  s.say("two run; what can begin soon enough is held, and where the line is too long the least important "
+        "leaves");
+  for (unsigned id = 1; id <= 5; ++id) s.read(id);
+  s.read(6, {.type = 1});
+  s.read(7, {.type = 1});
+  s.read(8, {.type = 1});
+  s.read(9, {.type = 1});
+  s.say("the rest runs, as the latest starts come");
+  s.after(300);
+  s.ended(1);
+  s.ended(2);
+  s.say("one that waited long to be read is over");
+  s.read(10, {.waited = 1900});
+  Scene t({{"tenant.0.quota", 2.0}, {"tenant.1.quota", 50.0}, {"over_share_worth", 0.1}});
+  learn(t);
+  t.say("a tenant far over its share leaves first");
+  for (unsigned id = 1; id <= 6; ++id) t.read(id, {.tenant = 0});
+  for (unsigned id = 7; id <= 9; ++id) t.read(id, {.tenant = 1});
+}
