--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,30 +25,29 @@
 constexpr Nanos second = 1000 * ms;
 
 constexpr Nanos tick = 20 * ms; // between looks at dues and gauges: a third of the least slack asked for
-constexpr Nanos gauge_span = 500 * ms; // what the gauge of the cores averages over
-constexpr double free_below = 0.9;     // part of the cores busy: under it they read free, noise allowed for
-constexpr double cap_growth = 1.25;    // a tick: doubles within four, fast against a gauge of half a second
-constexpr double cap_cut = 0.85;       // a cut: undoes about one step of growth
-constexpr Nanos cut_every = 500 * ms;  // between cuts: as long as the gauge takes to show the last
-constexpr double crowded_latency = 2;  // times the base: the design's figure
-constexpr double crowd_part = 0.85;    // of the survivable crowd: room for what resumes unasked
-constexpr double memory_part = 0.95;   // of the memory: room for ops read in the same instant
-constexpr double calls_part = 0.9;     // of the share of calls: room for the time a reply takes
-constexpr float long_memory = 64;  // ops until a histogram is halved: some ten seconds of work of one op type
-constexpr float short_memory = 24; // the same for what is to show the last seconds
-constexpr float enough = 8;        // ops in a histogram before it is believed
-constexpr double later_try = 0.9;  // of a caller's usual patience: less is a later try, not jitter
+constexpr Nanos gauge_span = 500 * ms;   // what the gauge of the cores averages over
+constexpr double free_below = 0.9;       // part of the cores busy: under it they read free, noise allowed for
+constexpr double cap_growth = 1.25;      // a tick: doubles within four, fast against a gauge of half a second
+constexpr double cap_cut = 0.85;         // a cut: undoes about one step of growth
+constexpr Nanos cut_every = 500 * ms;    // between cuts: as long as the gauge takes to show the last
+constexpr double crowded_latency = 2;    // times the base: the design's figure
+constexpr double crowd_part = 0.85;      // of the survivable crowd: room for what resumes unasked
+constexpr double memory_part = 0.95;     // of the memory: room for ops read in the same instant
+constexpr double calls_part = 0.9;       // of the share of calls: room for the time a reply takes
+constexpr float long_memory = 64;        // ops until a histogram is halved: ten seconds or so of one op type
+constexpr float short_memory = 24;       // the same for what is to show the last seconds
+constexpr float enough = 8;              // ops in a histogram before it is believed
+constexpr double later_try = 0.9;        // of a caller's usual patience: less is a later try, not jitter
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
-constexpr double hold_part = 0.25;      // of the target latency: a longer wait leaves no time to go elsewhere
+constexpr double hold_part = 0.25;     // of the target latency: a longer wait leaves no time to go elsewhere
 constexpr double last_sureness = 0.05; // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;  // times: another server may be as much faster than this one
 constexpr double guess_trust = 0.5;    // of the spread of a caller's guess, before its worth is known
 constexpr double guess_weight = 8;     // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;   // of the target latency: a run's length before any was seen
-constexpr Nanos call_tail =
-    2; // times the 95th of 100 calls after a failure, four else: what takes longer is lost
-constexpr int failures_to_open = 5;     // calls failing in a row: as the operators' staff know it
+constexpr Nanos call_tail = 2;      // times the 95th of 100 calls after a failure, four else: longer is lost
+constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
 constexpr Nanos open_first = 250 * ms;  // the breaker's first rest, then doubled: some round trips
 constexpr Nanos open_most = 4 * second; // its longest: a dependency comes back within some seconds
 constexpr Nanos count_span = 500 * ms;  // over which nacks are counted for what callers are told
@@ -59,9 +58,11 @@
 constexpr Nanos unread_part = 4; // of the target latency: waiting longer than that to be read is a line
 constexpr Nanos stood_still = 3 * tick; // between calls in: a process that runs is woken every tick
 constexpr double stall_runs = 10;       // mean runs without progress: chance does that once in thousands
-constexpr double nacks_felt = 0.05;     // part of those read: fewer nacks are chance
-constexpr double rank_step = 0.05;      // of a nacked op's rank in their mean: the last twenty or so
-constexpr double tokens_per_cap = 3;    // ops out here for each allowed to run, at full openness
+constexpr double waste_felt = 0.02;   // part of the cores that reads what is nacked: less isn't worth a word
+constexpr double unread_felt = 0.05;  // part of those read that waited long for it: fewer are chance
+constexpr double reading_step = 0.02; // of the part of the cores that reading takes, a look: the last second
+constexpr double rank_step = 0.05;    // of a nacked op's rank in their mean: the last twenty or so
+constexpr double tokens_per_cap = 3;  // ops out here for each allowed to run, at full openness
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -569,7 +570,8 @@
 void Choice::tell(Nanos now) {
   if (now - counted_from_ >= count_span) {
     const double span = static_cast<double>(now - counted_from_) / static_cast<double>(second);
-    const bool crowded = nacked_lately_ + unread_lately_ > nacks_felt * read_lately_;
+    const bool crowded =
+        nacked_lately_ * reading_ > waste_felt * read_lately_ || unread_lately_ > unread_felt * read_lately_;
     openness_ = crowded ? std::max(openness_least, openness_ * openness_cut)
                         : std::min(1.0, openness_ + openness_step);
     read_lately_ = nacked_lately_ = unread_lately_ = 0;
@@ -720,6 +722,10 @@
   };
   read(busy_gauge_, busy_);
   read(wanting_gauge_, wanting_core_);
+  if (wanting_core_ > 0) {
+    const double reading = std::max(0.0, wanting_core_ - on_core_) / std::max(wanting_core_, cores_);
+    reading_ += (reading - reading_) * reading_step;
+  }
   calls_.advance(now);
   std::erase_if(lingering_, [&](Nanos end) {
     if (end > now) return false;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -156,6 +156,7 @@
   double read_lately_ = 0;
   double nacked_lately_ = 0;
   double unread_lately_ = 0; // of those read, the ones that waited long for it
+  double reading_ = 0.25;    // part of the cores that goes to reading and the like
   double nacked_rank_ = 0;   // mean rank of those nacked last
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
