--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,19 +48,21 @@
 constexpr double unknown_run = 0.25;   // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail = 2;      // times the 95th of 100 calls after a failure, four else: longer is lost
 constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
-constexpr Nanos open_first = 250 * ms;  // the breaker's first rest, then doubled: some round trips
-constexpr Nanos open_most = 4 * second; // its longest: a dependency comes back within some seconds
-constexpr Nanos count_span = 500 * ms;  // over which nacks are counted for what callers are told
-constexpr double rate_keep = 0.8;       // part of the rate before that a count leaves: about two seconds
-constexpr double openness_step = 0.05;  // raised a count without nacks: back within ten seconds
-constexpr double openness_cut = 0.8;    // lowered a count with nacks
-constexpr double openness_least = 0.1;  // never shut: some traffic must tell when it may open again
-constexpr Nanos unread_part = 4; // of the target latency: waiting longer than that to be read is a line
+constexpr Nanos open_first = 250 * ms; // the breaker's first rest, then doubled: some round trips
+constexpr Nanos open_most =
+    second; // its longest: one call a second is no load, and longer would outlast the trouble
+constexpr Nanos count_span = 500 * ms; // over which nacks are counted for what callers are told
+constexpr double rate_keep = 0.8;      // part of the rate before that a count leaves: about two seconds
+constexpr double openness_step = 0.05; // raised a count without nacks: back within ten seconds
+constexpr double openness_cut = 0.8;   // lowered a count with nacks
+constexpr double openness_least = 0.1; // never shut: some traffic must tell when it may open again
+constexpr Nanos unread_part = 4;       // of the target latency: waiting longer than that to be read is a line
 constexpr Nanos stood_still = 3 * tick; // between calls in: a process that runs is woken every tick
 constexpr double stall_runs = 10;       // mean runs without progress: chance does that once in thousands
 constexpr double waste_felt = 0.02;   // part of the cores that reads what is nacked: less isn't worth a word
 constexpr double unread_felt = 0.05;  // part of those read that waited long for it: fewer are chance
 constexpr double reading_step = 0.02; // of the part of the cores that reading takes, a look: the last second
+constexpr double forgotten = 0.1;     // ops of late by a caller: fewer are none
 constexpr double rank_step = 0.05;    // of a nacked op's rank in their mean: the last twenty or so
 constexpr double tokens_per_cap = 3;  // ops out here for each allowed to run, at full openness
 
@@ -490,7 +492,7 @@
 void Choice::place_calls(Nanos now) {
   const std::vector<Op*> parked = at_call_;
   for (Op* op : parked) {
-    if (op->answered) continue;
+    if (op->answered || (now < op->call_from && !op->call_may_have_run)) continue;
     const OpType& type = types_[op->type.raw];
     // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
     // against a part of them being cut off or hung; a dependency that all share would only be asked twice.
@@ -511,7 +513,6 @@
     if (!op->call_may_have_run && breaker_lets(now) && call_fits(now, time_out) && fits) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
-      op->called_at = now;
       calls_.change(now, 1);
       if (failures_in_row_ >= failures_to_open) trial_out_ = true;
       op->when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
@@ -555,6 +556,9 @@
     op.stage = Stage::at_call;
     return;
   }
+  // Where all share what is below, another try at once would meet the same: against one op's tries in a row
+  // opening the breaker for all.
+  if (!several_below_) op.call_from = now + std::max(tick, call_time_.quantile(0.5));
   at_call(now, op);
 }
 
@@ -567,6 +571,17 @@
   return std::min(max_stay_away_, static_cast<Nanos>(line / cap_));
 }
 
+// So many callers of the same traffic would be as uneven as those of late: few carry most.
+double Choice::alike_callers() const {
+  double sum = 0;
+  double squares = 0;
+  for (const auto& [caller, ops] : ops_by_caller_) {
+    sum += ops;
+    squares += ops * ops;
+  }
+  return squares > 0 ? std::max(1.0, sum * sum / squares) : callers_;
+}
+
 void Choice::tell(Nanos now) {
   if (now - counted_from_ >= count_span) {
     const double span = static_cast<double>(now - counted_from_) / static_cast<double>(second);
@@ -576,6 +591,8 @@
                         : std::min(1.0, openness_ + openness_step);
     read_lately_ = nacked_lately_ = unread_lately_ = 0;
     counted_from_ = now;
+    for (auto& [caller, ops] : ops_by_caller_) ops *= rate_keep;
+    std::erase_if(ops_by_caller_, [](const auto& entry) { return entry.second < forgotten; });
     for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, span / 0.5);
   }
   double value = 0;
@@ -590,7 +607,8 @@
     value = open;
     break;
   case Say::tokens:
-    value = open * tokens_per_cap * cap_ / callers_;
+    value = tokens_per_cap * cap_ * open;
+    if (open < 1) value /= alike_callers();
     break;
   }
   if (std::abs(value - told_) < 0.01) return;
@@ -632,6 +650,7 @@
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
   ++read_lately_;
+  ++ops_by_caller_[caller];
   // Unread ops are seen by how long they have waited once read: a line no nack shows.
   if (waited > type.target_latency / unread_part) ++unread_lately_;
   if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) / 0.5;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -95,6 +95,7 @@
   void leave_core(Nanos now, Op& op);
   void join_core(Nanos now, Op& op);
   // What callers are told.
+  double alike_callers() const;
   void tell(Nanos now);
   Nanos stay_away(Nanos now) const;
 
@@ -149,6 +150,7 @@
   enum class Halt { none, drop, pause } halt_ = Halt::none;
   enum class Say { nothing, level, tokens, bias } say_ = Say::nothing;
   double callers_ = 1;
+  std::map<CallerId, double> ops_by_caller_; // of late
   double openness_ = 1;
   double told_ = -1;
   Nanos told_at_ = 0;
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -24,9 +24,16 @@
   k.read(1, {.type = 1});
   k.wants_call(1);
   k.called(1, Outcome::shed);
+  k.after(40);
   k.called(1, Outcome::cut);
   k.say("a retryable one calls again");
   k.read(2);
   k.wants_call(2);
   k.called(2, Outcome::cut);
+  k.after(40);
+  Scene n({{"below", std::string("next_hop")}});
+  n.say("where a balancer picks another of several, at once");
+  n.read(3);
+  n.wants_call(3);
+  n.called(3, Outcome::shed);
 }
