--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -59,6 +59,7 @@
 constexpr Nanos unread_part = 4;       // of the target latency: waiting longer than that to be read is a line
 constexpr Nanos stood_still = 3 * tick; // between calls in: a process that runs is woken every tick
 constexpr double stall_runs = 10;       // mean runs without progress: chance does that once in thousands
+constexpr double few_runs = 3;          // on the cores: fewer may all be long ones, and are given longer
 constexpr double waste_felt = 0.02;   // part of the cores that reads what is nacked: less isn't worth a word
 constexpr double unread_felt = 0.05;  // part of those read that waited long for it: fewer are chance
 constexpr double reading_step = 0.02; // of the part of the cores that reading takes, a look: the last second
@@ -189,13 +190,15 @@
 // the mean.
 void Choice::watch(Nanos now) {
   double work = 0;
-  double known = 0;
-  for (const OpType& type : types_) {
-    work += type.core_time.mean() * type.core_time.total();
-    known += type.core_time.total();
+  bool known = true;
+  for (const auto& [id, op] : ops_) {
+    if (op.stage != Stage::on_core) continue;
+    work += static_cast<double>(core_time(op));
+    known = known && types_[op.type.raw].core_time.total() >= enough;
   }
-  const double usual = known >= enough ? stall_runs * work / known / std::max(1, on_core_)
-                                       : static_cast<double>(types_.front().target_latency);
+  const double runs = std::max(1, on_core_);
+  const double usual = known ? stall_runs * work / (runs * runs) * std::max(1.0, few_runs / runs)
+                             : static_cast<double>(types_.front().target_latency);
   const Nanos patience = static_cast<Nanos>(usual / warmth(now));
   if (on_core_ > 0 && !stalled_ && now - progress_at_ > std::max(patience, gauge_span)) {
     stalled_ = true;
