--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,7 +46,9 @@
 constexpr double guess_trust = 0.5;    // of the spread of a caller's guess, before its worth is known
 constexpr double guess_weight = 8;     // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;   // of the target latency: a run's length before any was seen
-constexpr Nanos call_tail = 2;      // times the 95th of 100 calls after a failure, four else: longer is lost
+constexpr Nanos call_tail = 2; // times the 95th of 100 calls after a failure, four else: longer is lost
+constexpr Nanos first_call =
+    200 * ms;                       // a call's time-out where little fits and none was seen: some round trips
 constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
 constexpr Nanos open_first = 250 * ms; // the breaker's first rest, then doubled: some round trips
 constexpr Nanos open_most =
@@ -479,10 +481,13 @@
 }
 
 // Guards what lies below: the mean of the calls in hand, those given up too, would stay within this server's
-// share even if all of them stayed for as long as they may.
-bool Choice::call_fits(Nanos, Nanos time_out) const {
+// share even if all of them stayed for as long as they may. However small the share, one short call at a time
+// may be made where the mean stands under half of it, or a server would never call at all.
+bool Choice::call_fits(Nanos time_out) const {
   if (call_share_ <= 0) return true;
-  return calls_.mean_with(calls_.count() + 1, time_out + linger_) <= calls_part * call_share_;
+  if (calls_.mean_with(calls_.count() + 1, time_out + linger_) <= calls_part * call_share_) return true;
+  return calls_.count() == 0 && time_out <= first_call &&
+         calls_.mean_with(0, 0) <= calls_part * call_share_ / 2;
 }
 
 void Choice::at_call(Nanos now, Op& op) {
@@ -500,9 +505,12 @@
     const OpType& type = types_[op->type.raw];
     // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
     // against a part of them being cut off or hung; a dependency that all share would only be asked twice.
-    const Nanos usual = several_below_ && call_time_.total() >= enough
-                            ? (failures_in_row_ > 0 ? call_tail : 2 * call_tail) * call_time_.quantile(0.95)
-                            : op->due - now;
+    const bool known = call_time_.total() >= enough;
+    const Nanos tail = known ? 2 * call_tail * call_time_.quantile(0.95) : first_call;
+    const Nanos usual = !several_below_        ? op->due - now
+                        : !known               ? op->due - now
+                        : failures_in_row_ > 0 ? tail / 2
+                                               : tail;
     const Nanos left = win_by(*op) - core_time(*op) / 2 - now;
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
@@ -511,10 +519,11 @@
       continue;
     }
     const bool skippable = type.without_share > 0 && left > 0;
-    const Nanos time_out = std::min({skippable ? left : op->due - now, op->due - now, usual});
-    const bool fits =
-        time_out > 0 && (!skippable || call_time_.total() < enough || left >= call_time_.quantile(0.5));
-    if (!op->call_may_have_run && breaker_lets(now) && call_fits(now, time_out) && fits) {
+    Nanos time_out = std::min({skippable ? left : op->due - now, op->due - now, usual});
+    const bool fits = time_out > 0 && (!skippable || !known || left >= call_time_.quantile(0.5));
+    // A small share has no room for calls that might last that long: a shorter time-out keeps it usable.
+    if (!call_fits(time_out)) time_out = std::min(time_out, tail);
+    if (!op->call_may_have_run && breaker_lets(now) && call_fits(time_out) && fits) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
       calls_.change(now, 1);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -89,7 +89,7 @@
   void at_call(Nanos now, Op& op);
   void place_calls(Nanos now);
   void after_call(Nanos now, Op& op, Outcome outcome);
-  bool call_fits(Nanos now, Nanos time_out) const;
+  bool call_fits(Nanos time_out) const;
   bool breaker_lets(Nanos now) const;
   void note_call(Nanos now, Outcome outcome, Nanos lag);
   void leave_core(Nanos now, Op& op);
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -36,4 +36,17 @@
   n.read(3);
   n.wants_call(3);
   n.called(3, Outcome::shed);
+  Scene m({{"call_share", 0.9}, {"calls_over_ns", 5e9}, {"call_linger_ns", 2e8}});
+  m.say("a share with no room for a call of four seconds: once calls are known to be short, a short one");
+  for (unsigned id = 1; id <= 9; ++id) {
+    m.read(id);
+    m.wants_call(id);
+    m.after(20);
+    m.called(id, Outcome::done, 20);
+    m.ended(id);
+  }
+  m.read(10);
+  m.wants_call(10);
+  m.read(11);
+  m.wants_call(11);
 }
