--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,7 +24,8 @@
 constexpr Nanos ms = 1'000'000;
 constexpr Nanos second = 1000 * ms;
 
-constexpr Nanos tick = 20 * ms; // between looks at dues and gauges: a third of the least slack asked for
+constexpr Nanos tick =
+    20 * ms; // between looks: short against any target latency; dues are met two of them early
 constexpr Nanos gauge_span = 500 * ms;   // what the gauge of the cores averages over
 constexpr double free_below = 0.9;       // part of the cores busy: under it they read free, noise allowed for
 constexpr double cap_growth = 1.25;      // a tick: doubles within four, fast against a gauge of half a second
@@ -248,7 +249,7 @@
 }
 
 double Choice::density(const Op& op) const {
-  double worth = op.worth;
+  double worth = types_[op.type.raw].importance;
   if (op.tenant.raw < tenants_.size()) {
     const Tenant& tenant = tenants_[op.tenant.raw];
     const double within = tenant.seen > tenant.quota ? tenant.quota / tenant.seen : 1;
@@ -370,7 +371,7 @@
   if (outcome == Outcome::halted && !op.answered) { // fell back into the hold
     op.stage = Stage::held;
     held_.push_back(&op);
-    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(now, op);
+    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(op);
     return;
   }
   forget(op);
@@ -387,7 +388,7 @@
 
 // Nacks a held op that never ran; what did run is failed, since a nack would promise that it did not.
 void Choice::turn_away(Nanos now, Op& op) {
-  if (op.ran) return give_up(now, op);
+  if (op.ran) return give_up(op);
   ++nacked_lately_;
   nacked_rank_ += (op.rank - nacked_rank_) * rank_step;
   if (op.kept) {
@@ -402,24 +403,22 @@
 // Nacks a retryable op off the cores: its run is worth nothing here and may be made elsewhere.
 void Choice::send_on(Nanos now, Op& op) {
   server_.nack(op.id, false, stay_away(now));
-  op.answered = true;
-  if (halt_ != Halt::none) server_.halt(op.id);
+  let_go(op);
 }
 
 // Fails an op wherever it stands. One on the cores is halted where that can be done, else it runs on unheard.
-void Choice::give_up(Nanos now, Op& op) {
+void Choice::give_up(Op& op) {
   server_.fail(op.id);
+  let_go(op);
+}
+
+// After the final answer, or when nobody waits any more.
+void Choice::let_go(Op& op) {
   op.answered = true;
-  if (op.stage == Stage::held || op.stage == Stage::reusing || op.stage == Stage::paused) {
-    if (op.stage == Stage::paused) {
-      --running_;
-      memory_kb_ -= op.held_kb * (run_factor_ - 1);
-    }
+  if (op.stage == Stage::held || op.stage == Stage::reusing)
     forget(op);
-  } else if (op.stage == Stage::on_core && halt_ != Halt::none) {
+  else if (op.stage == Stage::on_core && halt_ != Halt::none)
     server_.halt(op.id);
-  }
-  (void)now;
 }
 
 // Guards against losing an op: whatever holds it up, it is answered at its due time. A run that hangs, a call
@@ -432,7 +431,7 @@
     if (op->stage == Stage::held && !op->ran && op->earlier == no_op)
       turn_away(now, *op);
     else
-      give_up(now, *op);
+      give_up(*op);
   }
 }
 
@@ -515,7 +514,7 @@
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
     if (left <= 0 && type.repeats == Repeats::retryable && type.late_share == 0) {
-      give_up(now, *op);
+      give_up(*op);
       continue;
     }
     const bool skippable = type.without_share > 0 && left > 0;
@@ -535,7 +534,7 @@
       join_core(now, *op);
       server_.answer_without(op->id);
     } else if (op->call_may_have_run) {
-      give_up(now, *op);
+      give_up(*op);
     }
   }
 }
@@ -641,16 +640,12 @@
   op.id = id;
   op.type = type_id;
   op.tenant = tenant;
-  op.key = key;
-  op.caller = caller;
   op.earlier = earlier;
   op.arrived = now - waited;
   op.guess = static_cast<double>(hint) / static_cast<double>(second);
   op.hint = hint > 0 ? std::pow(op.guess, guess_slope_.value(guess_trust, guess_weight)) : 1;
   op.held_kb = held_kb;
   op.rank = rank;
-  op.again = again;
-  op.worth = type.importance;
   op.due = patience > 0 ? now + patience : std::max(now, op.arrived + type.op_timeout);
   op.first_seen = op.arrived;
   if (patience > 0) { // a try with less left than this caller's usual began so much earlier
@@ -698,17 +693,7 @@
     server_.forget_key(id);
     keys_.erase(id);
   }
-  const bool answered = op.answered;
-  op.answered = true;
-  if (op.stage == Stage::held || op.stage == Stage::reusing || op.stage == Stage::paused) {
-    if (op.stage == Stage::paused) {
-      --running_;
-      memory_kb_ -= op.held_kb * (run_factor_ - 1);
-    }
-    forget(op);
-  } else if (op.stage == Stage::on_core && halt_ != Halt::none && !answered) {
-    server_.halt(id);
-  }
+  if (!op.answered) let_go(op);
   settle(now);
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -18,7 +18,7 @@
 class Server {
  public:
   virtual ~Server() = default;
-  virtual void run(OpId op) = 0; // start a held op, or resume a paused one
+  virtual void run(OpId op) = 0; // start a held op, or resume one that was halted
   virtual void nack(OpId op, bool no_retry, Nanos stay_away) = 0;
   virtual void fail(OpId op) = 0; // a final answer that promises nothing
   virtual void call(OpId op, Nanos time_out) = 0;
@@ -78,7 +78,8 @@
   // Final answers.
   void turn_away(Nanos now, Op& op);
   void send_on(Nanos now, Op& op);
-  void give_up(Nanos now, Op& op);
+  void give_up(Op& op);
+  void let_go(Op& op);
   void overdue(Nanos now);
   void forget(Op& op);
   // Memory and keys.
@@ -117,7 +118,7 @@
   double cold_from_ = 0;
   Nanos warm_after_ = 0;
   bool born_cold_ = false;
-  int running_ = 0; // started and not ended, waiting at calls or paused too
+  int running_ = 0; // started and not ended, waiting at calls too
   int on_core_ = 0;
   Nanos held_since_ = 0;
   Nanos cut_at_ = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -62,7 +62,7 @@
   Nanos base = 0;      // core time when all is well
 };
 
-enum class Stage { held, on_core, at_call, calling, paused, reusing };
+enum class Stage { held, on_core, at_call, calling, reusing };
 
 struct Op {
   // Handed the outcome of the step that the op is at.
@@ -71,8 +71,6 @@
   OpId id;
   OpTypeId type;
   TenantId tenant;
-  KeyId key;
-  CallerId caller;
   OpId earlier;         // the kept op that this one repeats
   Nanos arrived = 0;    // at the machine
   Nanos first_seen = 0; // when its first try is thought to have begun
@@ -85,8 +83,6 @@
   double hint = 1;     // what is made of it
   double held_kb = 0;
   double rank = 0;
-  double worth = 0;
-  bool again = false;
   bool kept = false;
   bool ran = false;      // has been started here, ever
   bool answered = false; // its final answer is given, or nobody waits; the run goes on
