Guard the calls in hand over a call's whole stay; repeats count in memory

Causes: the mean of calls in hand was looked at only for the end of a new call's stay, calls of ended ops were counted as gone, repeats waiting for their first were taken whatever the memory.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,6 +48,7 @@
 constexpr double guess_weight = 8;     // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;   // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail = 2; // times the 95th of 100 calls after a failure, four else: longer is lost
+constexpr int call_steps = 4;  // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call =
     200 * ms;                       // a call's time-out where little fits and none was seen: some round trips
 constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
@@ -353,7 +354,7 @@
 
 void Choice::after_run(Nanos now, Op& op, Outcome outcome, Nanos lag) {
   leave_core(now, op);
-  if (op.stage == Stage::calling) calls_.change(now, -1);
+  if (op.stage == Stage::calling) lingering_.push_back(now + linger_); // its call is given up, not gone
   drop_from(at_call_, &op);
   --running_;
   memory_kb_ -= op.held_kb * (run_factor_ - 1);
@@ -484,7 +485,11 @@
 // may be made where the mean stands under half of it, or a server would never call at all.
 bool Choice::call_fits(Nanos time_out) const {
   if (call_share_ <= 0) return true;
-  if (calls_.mean_with(calls_.count() + 1, time_out + linger_) <= calls_part * call_share_) return true;
+  // Not only at the end of that time: what was in hand before has to have left the window by then.
+  double most = 0;
+  for (int step = 0; step <= call_steps; ++step)
+    most = std::max(most, calls_.mean_with(calls_.count() + 1, (time_out + linger_) * step / call_steps));
+  if (most <= calls_part * call_share_) return true;
   return calls_.count() == 0 && time_out <= first_call &&
          calls_.mean_with(0, 0) <= calls_part * call_share_ / 2;
 }
@@ -498,6 +503,7 @@
 // Lets parked ops call, in the order of coming; those that may not call yet go on without it where that is
 // worth something, or wait for as long as they can still be in time.
 void Choice::place_calls(Nanos now) {
+  calls_.advance(now);
   const std::vector<Op*> parked = at_call_;
   for (Op* op : parked) {
     if (op->answered || (now < op->call_from && !op->call_may_have_run)) continue;
@@ -663,9 +669,12 @@
   if (waited > type.target_latency / unread_part) ++unread_lately_;
   if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) / 0.5;
 
+  // Before the keys: a repeat that waits for its first takes memory too, and may not be nacked if that has
+  // run.
+  if (memory_with(0) > memory_part * memory_limit_)
+    return earlier != no_op ? give_up(op) : turn_away(now, op);
   if (earlier != no_op && reuse_earlier(now, op)) return;
   if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op);
-  if (memory_with(0) > memory_part * memory_limit_) return turn_away(now, op);
   // A big op that is likelier than not to be late on these cores is better off on faster ones. Only first
   // tries are sent on, so that none is sent round, and only where further tries are told from them.
   if (marks_again_ && !again && hint > 0 && !winnable(op, now, sent_on_sureness) &&
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -49,4 +49,26 @@
   m.wants_call(10);
   m.read(11);
   m.wants_call(11);
+  Scene w({{"call_share", 2.0}, {"calls_over_ns", 1e9}, {"op_type.0.target_latency_ns", 4e8}});
+  w.say("calls that filled the window count until they have left it: the seventh, a long one, waits");
+  for (unsigned id = 1; id <= 6; ++id) {
+    w.read(id, {.patience = 300});
+    w.wants_call(id);
+  }
+  w.to(250);
+  for (unsigned id = 1; id <= 6; ++id) {
+    w.called(id);
+    w.ended(id);
+  }
+  w.read(7, {.type = 1, .patience = 1200});
+  w.wants_call(7);
+  w.to(1300);
+  Scene e({{"call_share", 1.0}, {"calls_over_ns", 1e9}, {"call_linger_ns", 3e8}});
+  e.say("the call of an op that has ended meanwhile is given up, not gone");
+  e.read(1);
+  e.wants_call(1);
+  e.ended(1, Outcome::halted);
+  e.read(2);
+  e.wants_call(2);
+  e.to(700);
 }
--- a/tests/memory.cpp
+++ b/tests/memory.cpp
@@ -18,4 +18,8 @@
   }
   k.to(10100);
   k.read(7, {.type = 1, .kb = 20});
+  Scene r({{"memory_kb", 400.0}});
+  r.say("a repeat that would wait for its first takes memory too; it is failed, as its first runs");
+  r.read(1, {.type = 1, .kb = 80});
+  r.read(2, {.type = 1, .kb = 80, .earlier = OpId{1}});
 }
