--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -80,21 +80,21 @@
 } // namespace
 
 Choice::Choice(Nanos now, std::uint64_t seed, const Given& given, Server& server)
-    : server_(server), chance_(seed), now_(now), born_(now),
-      calls_(static_cast<Nanos>(number(given, "calls_over_ns", 5e9)), now), call_time_(long_memory) {
+    : server_(server), chance_(seed), now_(now), born_(now), calls_(span(given, "calls_over_ns", 5e9), now),
+      call_time_(long_memory) {
   cores_ = needed(given, "cores", 1);
   cap_ = cores_;
   fall_multiple_ = needed(given, "fall_multiple", 1);
   cold_from_ = std::clamp(number(given, "cold_from", 1), 0.0, 1.0);
-  warm_after_ = static_cast<Nanos>(number(given, "warm_after_ns", 0));
+  warm_after_ = span(given, "warm_after_ns", 0);
   born_cold_ = number(given, "cold", 0) != 0;
   memory_limit_ = needed(given, "memory_kb", 1);
   run_factor_ = std::max(1.0, number(given, "run_factor", 1));
   key_kb_ = number(given, "key_kb", 0);
-  fresh_for_ = static_cast<Nanos>(number(given, "fresh_for_ns", 0));
+  fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
-  linger_ = static_cast<Nanos>(number(given, "call_linger_ns", 0));
+  linger_ = span(given, "call_linger_ns", 0);
   const std::string halt = text(given, "halt", "none");
   halt_ = halt == "pause" ? Halt::pause : halt == "drop" ? Halt::drop : Halt::none;
   const std::string say = text(given, "say", "none");
@@ -103,12 +103,11 @@
          : say == "bias"   ? Say::bias
                            : Say::nothing;
   callers_ = std::max(1.0, number(given, "callers", 1));
-  if (number(given, "stay_away_heeded", 0) != 0)
-    max_stay_away_ = static_cast<Nanos>(number(given, "max_stay_away_ns", 0));
+  if (number(given, "stay_away_heeded", 0) != 0) max_stay_away_ = span(given, "max_stay_away_ns", 0);
   over_share_worth_ = number(given, "over_share_worth", 1);
   marks_again_ = number(given, "marks_retry", 0) != 0;
   by_work_ = text(given, "value_by", "op") == "work";
-  grace_ = static_cast<Nanos>(needed(given, "drain_grace_ns", 0));
+  grace_ = span(given, "drain_grace_ns");
   for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g)
     if (const std::string gauge = text(given, "gauge." + std::to_string(g), ""); gauge == "cores_busy")
       busy_gauge_ = g;
@@ -121,7 +120,7 @@
                 .recent = Histogram(short_memory)};
     type.op_timeout = static_cast<Nanos>(needed(given, at + "op_timeout_ns", 1));
     type.target_latency = static_cast<Nanos>(needed(given, at + "target_latency_ns", 1));
-    type.key_window = static_cast<Nanos>(number(given, at + "key_window_ns", 0));
+    type.key_window = span(given, at + "key_window_ns", 0);
     type.importance = number(given, at + "importance", 1);
     type.late_share = number(given, at + "late_share", 0);
     type.without_share = number(given, at + "without_share", 0);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -37,6 +37,12 @@
   if (!(value >= least)) throw std::invalid_argument("setting " + std::string(name) + " is senseless");
   return value;
 }
+inline Nanos span(const Given& given, std::string_view name) {
+  return static_cast<Nanos>(needed(given, name, 0));
+}
+inline Nanos span(const Given& given, std::string_view name, double otherwise) {
+  return given.contains(name) ? span(given, name) : static_cast<Nanos>(otherwise);
+}
 inline std::string text(const Given& given, std::string_view name, std::string_view otherwise) {
   const auto at = given.find(name);
   if (at == given.end()) return std::string(otherwise);
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -13,6 +13,7 @@
   build({}, {"cores"});
   build({{"cores", 0.0}}, {});
   build({{"op_type.1.op_timeout_ns", -4e9}}, {});
+  build({{"warm_after_ns", -1.0}}, {});
   build({{"memory_kb", std::string("much")}}, {});
   build({}, {"drain_grace_ns"});
   build({}, {"op_type.0.op_timeout_ns", "op_type.1.op_timeout_ns"});
