--- a/tests/callers.cpp
+++ b/tests/callers.cpp
@@ -1,5 +1,7 @@
 #include "scene.hpp"
 
+#include <cmath>
+
 // More ops than can be served, with so many cores wanted besides the runs for reading.
 static void crowd(Scene& s, double wanted, Nanos waited, int ops) {
   static unsigned id = 1;
@@ -11,7 +13,7 @@
     for (const OpId op : std::set<OpId>(s.running)) s.ended(static_cast<unsigned>(op.raw));
   }
   s.quiet = false;
-  std::printf("%6s  told %.2f\n", "", s.told);
+  s.say(std::to_string(std::lround(100 * s.told)).append(" hundredths told last"));
 }
 
 int main() {
--- a/tests/cap.cpp
+++ b/tests/cap.cpp
@@ -13,7 +13,7 @@
       s.ended(static_cast<unsigned>(op.raw), Outcome::done, length);
   }
   s.quiet = false;
-  std::printf("%zu run at once\n", at_once);
+  s.say(std::to_string(at_once).append(" run at once"));
 }
 
 int main() {
--- a/tests/crowd.cpp
+++ b/tests/crowd.cpp
@@ -7,7 +7,7 @@
     s.read(id, {.kb = 1});
     if (s.running.contains(OpId{id})) s.wants_call(id);
   }
-  std::printf("%zu\n", s.running.size());
+  s.say(std::to_string(s.running.size()).append(" started"));
 }
 
 int main() {
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -8,6 +8,7 @@
 #include <initializer_list>
 #include <memory>
 #include <set>
+#include <string>
 
 using namespace cometshift;
 
@@ -29,17 +30,36 @@
   std::unique_ptr<Choice> choice_;
   Nanos now_ = 0;
   Nanos wake_ = 0;
+  bool healthy_ = false;
   std::array<double, 2> gauges_{1, 0};
 
-  void line(const char* what, OpId op) {
+  inline static bool open_ = false; // a line is begun: what happens at the same time goes on it
+  inline static Nanos open_at_ = 0;
+
+  void emit(std::string what, const std::string& rest = {}) {
     if (quiet) return;
-    std::printf("%6lld  %s %llu\n", at(), what, static_cast<unsigned long long>(op.raw));
+    what += rest;
+    if (open_ && open_at_ == now_) {
+      std::printf(", %s", what.c_str());
+      return;
+    }
+    end();
+    std::printf("%6lld  %s", at(), what.c_str());
+    open_ = true;
+    open_at_ = now_;
+  }
+  static std::string of(OpId op) { return std::string(1, ' ').append(std::to_string(op.raw)); }
+  static std::string span(Nanos time) { return std::string(" for ").append(std::to_string(time / ms)); }
+  static std::string number(double value) {
+    char text[16];
+    std::snprintf(text, sizeof text, " %.2f", value);
+    return text;
   }
   long long at() const { return static_cast<long long>(now_ / ms); }
 
  public:
   std::set<OpId> running; // started, and not ended by the test
-  bool quiet = false;     // nothing is printed but changes of health
+  bool quiet = false;     // nothing is printed
   double told = -1;
 
   // Two cores, a retryable type 0 and a keyed type 1; what `more` names is changed or added.
@@ -65,41 +85,41 @@
     given["op_type.1.importance"] = 3.0;
     for (const auto& [name, value] : more) given[name] = value;
     for (const char* name : without) given.erase(name);
+    end();
     choice_ = std::make_unique<Choice>(0, 7, given, *this);
+    if (!healthy_) emit("no stored health");
   }
 
-  void run(OpId op) override { running.insert(op), line("run", op); }
-  void nack(OpId op, bool no_retry, Nanos) override { line(no_retry ? "nack, no retry," : "nack", op); }
-  void fail(OpId op) override { line("fail", op); }
-  void call(OpId op, Nanos time_out) override {
-    std::printf("%6lld  call %llu for %lld\n", at(), static_cast<unsigned long long>(op.raw),
-                static_cast<long long>(time_out / ms));
-  }
-  void answer_without(OpId op) override { line("answer without", op); }
-  void keep_key(OpId op, Nanos life) override {
-    if (quiet) return;
-    std::printf("%6lld  keep %llu for %lld\n", at(), static_cast<unsigned long long>(op.raw),
-                static_cast<long long>(life / ms));
+  ~Scene() override { end(); }
+  static void end() {
+    if (open_) std::puts("");
+    open_ = false;
   }
-  void forget_key(OpId op) override { line("forget", op); }
-  void reuse(OpId op) override { line("reuse", op); }
-  void halt(OpId op) override { line("halt", op); }
+
+  void run(OpId op) override { running.insert(op), emit("run", of(op)); }
+  void nack(OpId op, bool no_retry, Nanos) override { emit(no_retry ? "nack for good" : "nack", of(op)); }
+  void fail(OpId op) override { emit("fail", of(op)); }
+  void call(OpId op, Nanos time_out) override { emit("call", of(op) + span(time_out)); }
+  void answer_without(OpId op) override { emit("answer without", of(op)); }
+  void keep_key(OpId op, Nanos life) override { emit("keep", of(op) + span(life)); }
+  void forget_key(OpId op) override { emit("forget", of(op)); }
+  void reuse(OpId op) override { emit("reuse", of(op)); }
+  void halt(OpId op) override { emit("halt", of(op)); }
   void health(bool good, bool stored) override {
-    std::printf("%6lld  health %s%s\n", at(), good ? "good" : "bad", stored ? ", from store" : "");
-  }
-  void tell_callers(double value) override {
-    told = value;
-    if (!quiet) std::printf("%6lld  tell %.2f\n", at(), value);
-  }
-  void idle_close(Nanos after) override {
-    std::printf("%6lld  idle close %lld\n", at(), static_cast<long long>(after / ms));
+    if (!choice_ && good && stored)
+      healthy_ = true; // at the start, as it has to be: not printed
+    else
+      emit(good ? "health good" : "health bad", stored ? " (stored)" : "");
   }
+  void tell_callers(double value) override { told = value, emit("tell", number(value)); }
+  void idle_close(Nanos after) override { emit("idle close", span(after)); }
   void wake_at(Nanos when, WakeId) override { wake_ = when; }
-  void log(std::string_view words) override {
-    std::printf("%6lld  log %.*s\n", at(), static_cast<int>(words.size()), words.data());
-  }
+  void log(std::string_view words) override { emit("log ", std::string(words)); }
 
-  void say(const char* words) { std::printf("# %s\n", words); }
+  void say(const std::string& words) {
+    end();
+    std::printf("# %s\n", words.c_str());
+  }
   void gauges(double busy, double wanted) { gauges_ = {busy, wanted}; }
   // Lets the clock run to a time in ms, with every wake-up asked for.
   void to(Nanos time) {
--- a/tests/stall.cpp
+++ b/tests/stall.cpp
@@ -1,7 +1,7 @@
 #include "scene.hpp"
 
-int main() {
-  Scene s;
+// Runs take 100 ms.
+static void learn(Scene& s) {
   s.quiet = true;
   for (unsigned id = 1; id <= 20; ++id) {
     s.read(id, {.type = id % 2});
@@ -9,6 +9,11 @@
     s.ended(id);
   }
   s.quiet = false;
+}
+
+int main() {
+  Scene s;
+  learn(s);
   s.say("runs took 100 ms; now two hang, one of them keyed, and a third is held");
   s.read(31);
   s.read(32, {.type = 1});
@@ -22,13 +27,7 @@
   s.read(35);
   s.to(4000);
   Scene p;
-  p.quiet = true;
-  for (unsigned id = 1; id <= 20; ++id) {
-    p.read(id, {.type = id % 2});
-    p.after(100);
-    p.ended(id);
-  }
-  p.quiet = false;
+  learn(p);
   p.say("a process that stood still is not stalled: the time it missed does not count");
   p.read(31);
   p.read(32);
