One piece of code for what stood twice; every tuned value in the module's block

Dropping the entry of an op that never ran stood in two places; calls were placed twice for one event, and their room asked for again with the same time-out; latest starts were worked out anew at each comparison of the sort. Values in the interface (part of the cores first taken for reading), in the slope's own file and bare in expressions (64, 256, 0.95, halves) stand in the block now with unit and reason. Gone: fields, a hash, an include and a parameter that nothing read. The adapter decodes both ends of a step, and any value of the settings, in one place each.

--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -130,13 +130,8 @@
 std::optional<T> maybe(const object& o, std::string_view name) {
   element at;
   if (o[name].get(at) != simdjson::SUCCESS || at.is_null()) return std::nullopt;
-  if constexpr (std::is_same_v<T, double>) {
-    double value;
-    if (at.get(value) == simdjson::SUCCESS) return value;
-  } else {
-    T value;
-    if (at.get(value) == simdjson::SUCCESS) return value;
-  }
+  T value;
+  if (at.get(value) == simdjson::SUCCESS) return value;
   bad("wrong kind of value in field", name);
 }
 template <class T>
@@ -186,30 +181,23 @@
 }
 
 // Copies one value of the settings under its name of ours; what is absent stays out.
-void take(Given& given, const object& from, std::string_view name, std::string ours) {
-  element at;
-  if (from[name].get(at) != simdjson::SUCCESS) return;
+void put(Given& given, const element& at, const std::string& ours) {
   if (bool flag; at.get(flag) == simdjson::SUCCESS)
-    given[std::move(ours)] = flag ? 1.0 : 0.0;
+    given[ours] = flag ? 1.0 : 0.0;
   else if (double value; at.get(value) == simdjson::SUCCESS)
-    given[std::move(ours)] = value;
+    given[ours] = value;
   else if (std::string_view word; at.get(word) == simdjson::SUCCESS)
-    given[std::move(ours)] = our_word(word);
+    given[ours] = our_word(word);
+}
+void take(Given& given, const object& from, std::string_view name, const std::string& ours) {
+  if (element at; from[name].get(at) == simdjson::SUCCESS) put(given, at, ours);
 }
 void take_row(Given& given, const object& from, std::string_view name, const std::string& before,
-              std::string_view after) {
+              const std::string& after) {
   simdjson::dom::array row;
   if (from[name].get(row) != simdjson::SUCCESS) return;
   std::size_t i = 0;
-  for (const element at : row) {
-    const std::string ours = before + std::to_string(i++) + std::string(after);
-    if (bool flag; at.get(flag) == simdjson::SUCCESS)
-      given[ours] = flag ? 1.0 : 0.0;
-    else if (double value; at.get(value) == simdjson::SUCCESS)
-      given[ours] = value;
-    else if (std::string_view word; at.get(word) == simdjson::SUCCESS)
-      given[ours] = our_word(word);
-  }
+  for (const element at : row) put(given, at, before + std::to_string(i++) + after);
 }
 object entry_of(const element& at, std::string_view row) {
   object entry;
@@ -365,19 +353,17 @@
                        TenantId{static_cast<std::uint32_t>(tenant)}, KeyId{key}, CallerId{caller}, patience,
                        waited, hint, kb, rank, again, earlier);
       });
-    } else if (name == "ENDED") {
-      const OpId id = op_of(f);
-      const Nanos lag = span_of(f, "lag_ns");
-      const Outcome outcome = outcome_of(f);
-      hand([&] { choice.run_ended(now_, id, outcome, lag); });
     } else if (name == "STALLED_ON_CALL") {
       const OpId id = op_of(f);
       hand([&] { choice.call_wanted(now_, id); });
-    } else if (name == "CALL_RESULT") {
+    } else if (name == "ENDED" || name == "CALL_RESULT") {
       const OpId id = op_of(f);
       const Nanos lag = span_of(f, "lag_ns");
       const Outcome outcome = outcome_of(f);
-      hand([&] { choice.call_ended(now_, id, outcome, lag); });
+      if (name == "ENDED")
+        hand([&] { choice.run_ended(now_, id, outcome, lag); });
+      else
+        hand([&] { choice.call_ended(now_, id, outcome, lag); });
     } else if (name == "EXPIRED") {
       const OpId id = op_of(f);
       hand([&] { choice.op_gone(now_, id); });
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -15,7 +15,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace cometshift {
 
@@ -24,31 +23,36 @@
 constexpr Nanos ms = 1'000'000;
 constexpr Nanos second = 1000 * ms;
 
-constexpr Nanos tick =
-    20 * ms; // between looks: short against any target latency; dues are met two of them early
-constexpr Nanos gauge_span = 500 * ms;   // what the gauge of the cores averages over
-constexpr double free_below = 0.9;       // part of the cores busy: under it they read free, noise allowed for
-constexpr double cap_growth = 1.25;      // a tick: doubles within four, fast against a gauge of half a second
-constexpr double cap_cut = 0.85;         // a cut: undoes about one step of growth
-constexpr Nanos cut_every = 500 * ms;    // between cuts: as long as the gauge takes to show the last
-constexpr double crowded_latency = 2;    // times the base: the design's figure
-constexpr double crowd_part = 0.85;      // of the survivable crowd: room for what resumes unasked
-constexpr double memory_part = 0.95;     // of the memory: room for ops read in the same instant
-constexpr double calls_part = 0.9;       // of the share of calls: room for the time a reply takes
-constexpr float long_memory = 64;        // ops until a histogram is halved: ten seconds or so of one op type
-constexpr float short_memory = 24;       // the same for what is to show the last seconds
-constexpr float enough = 8;              // ops in a histogram before it is believed
-constexpr double later_try = 0.9;        // of a caller's usual patience: less is a later try, not jitter
+constexpr Nanos tick = 20 * ms; // between looks: short against target latencies; dues are met two early
+constexpr Nanos gauge_span = 500 * ms; // what the gauge of the cores averages over
+constexpr double free_below = 0.9;     // part of the cores busy: under it they read free, noise allowed for
+constexpr double cap_growth = 1.25;    // a tick: doubles within four, fast against a gauge of half a second
+constexpr double cap_cut = 0.85;       // a cut: undoes about one step of growth
+constexpr Nanos cut_every = 500 * ms;  // between cuts: as long as the gauge takes to show the last
+constexpr double crowded_latency = 2;  // times the base: the design's figure
+constexpr double crowd_part = 0.85;    // of the survivable crowd: room for what resumes unasked
+constexpr double memory_part = 0.95;   // of the memory: room for ops read in the same instant
+constexpr double shared_part = 0.5;    // of the memory: reads are remembered only under it, keys come first
+constexpr double calls_part = 0.9;     // of the share of calls: room for the time a reply takes
+constexpr float long_memory = 64;      // ops until a histogram is halved: ten seconds or so of one op type
+constexpr float short_memory = 24;     // the same for what is to show the last seconds
+constexpr float enough = 8;            // ops in a histogram before it is believed
+constexpr double later_try = 0.9;      // of a caller's usual patience: less is a later try, not jitter
+constexpr Nanos usual_step = 64;       // part of it a usual patience moves at a time: dozens of ops to follow
+constexpr Nanos base_rise = 256;       // part of it a base rises a run: hundreds, so a jam doesn't become one
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
 constexpr double hold_part = 0.25;     // of the target latency: a longer wait leaves no time to go elsewhere
 constexpr double last_sureness = 0.05; // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;  // times: another server may be as much faster than this one
 constexpr double guess_trust = 0.5;    // of the spread of a caller's guess, before its worth is known
-constexpr double guess_weight = 8;     // ops that this trust weighs as much as
-constexpr double unknown_run = 0.25;   // of the target latency: a run's length before any was seen
-constexpr Nanos call_tail = 2; // times the 95th of 100 calls after a failure, four else: longer is lost
-constexpr int call_steps = 4;  // points of a call's time at which the mean in hand is looked at
+constexpr double guess_step = 1.0 / 128; // of a run in that worth: some hundred runs make it
+constexpr double guess_weight = 8;       // ops that this trust weighs as much as
+constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
+constexpr Nanos call_tail = 2;     // times the 95th of 100 calls after a failure, four else: longer is lost
+constexpr double slow_call = 0.95; // part of the calls that are shorter: the tail is looked at from there
+constexpr double lone_part = 0.5;  // of the share that a lone short call may find used: it adds little itself
+constexpr int call_steps = 4;      // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call =
     200 * ms;                       // a call's time-out where little fits and none was seen: some round trips
 constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
@@ -64,13 +68,14 @@
 constexpr Nanos stood_still = 3 * tick; // between calls in: a process that runs is woken every tick
 constexpr double stall_runs = 10;       // mean runs without progress: chance does that once in thousands
 constexpr double few_runs = 3;          // on the cores: fewer may all be long ones, and are given longer
-constexpr double waste_felt = 0.02;   // part of the cores that reads what is nacked: less isn't worth a word
-constexpr double unread_felt = 0.05;  // part of those read that waited long for it: fewer are chance
-constexpr double reading_step = 0.02; // of the part of the cores that reading takes, a look: the last second
-constexpr double told_change = 0.05;  // part of the value: less is not worth telling
-constexpr double forgotten = 0.1;     // ops of late by a caller: fewer are none
-constexpr double rank_step = 0.05;    // of a nacked op's rank in their mean: the last twenty or so
-constexpr double tokens_per_cap = 3;  // ops out here for each allowed to run, at full openness
+constexpr double waste_felt = 0.02;    // part of the cores that reads what is nacked: less isn't worth a word
+constexpr double unread_felt = 0.05;   // part of those read that waited long for it: fewer are chance
+constexpr double reading_step = 0.02;  // of the part of the cores that reading takes, a look: the last second
+constexpr double reading_first = 0.25; // that part before it was seen: wary of dear reading
+constexpr double told_change = 0.05;   // part of the value: less is not worth telling
+constexpr double forgotten = 0.1;      // ops of late by a caller: fewer are none
+constexpr double rank_step = 0.05;     // of a nacked op's rank in their mean: the last twenty or so
+constexpr double tokens_per_cap = 3;   // ops out here for each allowed to run, at full openness
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -80,8 +85,8 @@
 } // namespace
 
 Choice::Choice(Nanos now, std::uint64_t seed, const Given& given, Server& server)
-    : server_(server), chance_(seed), now_(now), born_(now), calls_(span(given, "calls_over_ns", 5e9), now),
-      call_time_(long_memory) {
+    : server_(server), chance_(seed), now_(now), born_(now), guess_slope_(guess_step),
+      calls_(span(given, "calls_over_ns", 5e9), now), call_time_(long_memory), reading_(reading_first) {
   cores_ = needed(given, "cores", 1);
   cap_ = cores_;
   fall_multiple_ = needed(given, "fall_multiple", 1);
@@ -206,12 +211,10 @@
   const Nanos patience = static_cast<Nanos>(usual / warmth(now));
   if (on_core_ > 0 && !stalled_ && now - progress_at_ > std::max(patience, gauge_span)) {
     stalled_ = true;
-    std::vector<Op*> hung;
-    for (auto& [id, op] : ops_)
-      if (op.stage == Stage::on_core && !op.answered) hung.push_back(&op);
-    for (Op* op : hung) {
-      op->hung = true;
-      if (types_[op->type.raw].repeats == Repeats::retryable) send_on(now, *op);
+    for (auto& [id, op] : ops_) {
+      if (op.stage != Stage::on_core || op.answered) continue;
+      op.hung = true;
+      if (types_[op.type.raw].repeats == Repeats::retryable) send_on(op);
     }
   }
   if (stalled_) good_from_ = now + gauge_span;
@@ -262,10 +265,9 @@
 // the one with the least worth for its work of those so far is nacked at once, so that its caller can go
 // elsewhere. Guards against a line in which all are late; harms if runs are taken for longer than they are.
 void Choice::plan(Nanos now) {
-  std::stable_sort(held_.begin(), held_.end(), [this](const Op* a, const Op* b) {
-    const auto latest = [this](const Op* o) { return win_by(*o) - run_time(*o, planned_sureness); };
-    return latest(a) < latest(b);
-  });
+  for (Op* op : held_) op->latest_start = win_by(*op) - run_time(*op, planned_sureness);
+  std::stable_sort(held_.begin(), held_.end(),
+                   [](const Op* a, const Op* b) { return a->latest_start < b->latest_start; });
   double ahead =
       std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
   double line = 0;
@@ -328,7 +330,6 @@
   memory_kb_ += op.held_kb * (run_factor_ - 1);
   ++running_;
   op.ran = true;
-  op.started = now;
   join_core(now, op);
   op.when_ended = [this](Op& ended, Outcome outcome, Nanos lag) { after_run(now_, ended, outcome, lag); };
   server_.run(op.id);
@@ -366,7 +367,7 @@
     type.recent.note(core);
     const Nanos usual = type.recent.quantile(0.5);
     if (type.recent.total() >= enough)
-      type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / 256);
+      type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / base_rise);
   }
   if (outcome == Outcome::halted && !op.answered) { // fell back into the hold
     op.stage = Stage::held;
@@ -391,18 +392,15 @@
   if (op.ran) return give_up(op);
   ++nacked_lately_;
   nacked_rank_ += (op.rank - nacked_rank_) * rank_step;
-  if (op.kept) {
-    server_.forget_key(op.id);
-    keys_.erase(op.id);
-  }
+  drop_key(op);
   const bool hopeless = now + run_time(op, last_sureness) / faster_elsewhere > win_by(op);
-  server_.nack(op.id, hopeless, stay_away(now));
+  server_.nack(op.id, hopeless, stay_away());
   forget(op);
 }
 
 // Nacks a retryable op off the cores: its run is worth nothing here and may be made elsewhere.
-void Choice::send_on(Nanos now, Op& op) {
-  server_.nack(op.id, false, stay_away(now));
+void Choice::send_on(Op& op) {
+  server_.nack(op.id, false, stay_away());
   let_go(op);
 }
 
@@ -454,6 +452,13 @@
   return true;
 }
 
+// The entry of an op that ends without a run; one that ran is remembered to the end of its window.
+void Choice::drop_key(const Op& op) {
+  if (!op.kept || op.ran) return;
+  server_.forget_key(op.id);
+  keys_.erase(op.id);
+}
+
 // True if the op needs no run of its own: what it repeats runs here or has run. A keyed op whose first try is
 // still held takes its place; that try's caller has given it up, as tries of one request follow each other.
 bool Choice::reuse_earlier(Nanos now, Op& op) {
@@ -490,13 +495,12 @@
     most = std::max(most, calls_.mean_with(calls_.count() + 1, (time_out + linger_) * step / call_steps));
   if (most <= calls_part * call_share_) return true;
   return calls_.count() == 0 && time_out <= first_call &&
-         calls_.mean_with(0, 0) <= calls_part * call_share_ / 2;
+         calls_.mean_with(0, 0) <= lone_part * calls_part * call_share_;
 }
 
-void Choice::at_call(Nanos now, Op& op) {
+void Choice::park(Op& op) {
   op.stage = Stage::at_call;
   at_call_.push_back(&op);
-  place_calls(now);
 }
 
 // Lets parked ops call, in the order of coming; those that may not call yet go on without it where that is
@@ -510,11 +514,8 @@
     // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
     // against a part of them being cut off or hung; a dependency that all share would only be asked twice.
     const bool known = call_time_.total() >= enough;
-    const Nanos tail = known ? 2 * call_tail * call_time_.quantile(0.95) : first_call;
-    const Nanos usual = !several_below_        ? op->due - now
-                        : !known               ? op->due - now
-                        : failures_in_row_ > 0 ? tail / 2
-                                               : tail;
+    const Nanos tail = known ? 2 * call_tail * call_time_.quantile(slow_call) : first_call;
+    const Nanos usual = !several_below_ || !known ? op->due - now : failures_in_row_ > 0 ? tail / 2 : tail;
     const Nanos left = win_by(*op) - core_time(*op) / 2 - now;
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
@@ -526,8 +527,12 @@
     Nanos time_out = std::min({skippable ? left : op->due - now, op->due - now, usual});
     const bool fits = time_out > 0 && (!skippable || !known || left >= call_time_.quantile(0.5));
     // A small share has no room for calls that might last that long: a shorter time-out keeps it usable.
-    if (!call_fits(time_out)) time_out = std::min(time_out, tail);
-    if (!op->call_may_have_run && breaker_lets(now) && call_fits(time_out) && fits) {
+    bool room = call_fits(time_out);
+    if (!room && tail < time_out) {
+      time_out = tail;
+      room = call_fits(time_out);
+    }
+    if (!op->call_may_have_run && breaker_lets(now) && room && fits) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
       calls_.change(now, 1);
@@ -576,12 +581,12 @@
   // Where all share what is below, another try at once would meet the same: against one op's tries in a row
   // opening the breaker for all.
   if (!several_below_) op.call_from = now + std::max(tick, call_time_.quantile(0.5));
-  at_call(now, op);
+  park(op);
 }
 
 // ---- what callers are told
 
-Nanos Choice::stay_away(Nanos) const {
+Nanos Choice::stay_away() const {
   if (stalled_) return max_stay_away_;
   double line = 0;
   for (const Op* op : held_) line += static_cast<double>(core_time(*op));
@@ -601,7 +606,7 @@
 
 void Choice::tell(Nanos now) {
   if (now - counted_from_ >= count_span) {
-    const double span = static_cast<double>(now - counted_from_) / static_cast<double>(second);
+    const double counts = static_cast<double>(now - counted_from_) / static_cast<double>(count_span);
     const bool crowded =
         nacked_lately_ * reading_ > waste_felt * read_lately_ || unread_lately_ > unread_felt * read_lately_;
     openness_ = crowded ? std::max(openness_least, openness_ * openness_cut)
@@ -610,7 +615,7 @@
     counted_from_ = now;
     for (auto& [caller, ops] : ops_by_caller_) ops *= rate_keep;
     std::erase_if(ops_by_caller_, [](const auto& entry) { return entry.second < forgotten; });
-    for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, span / 0.5);
+    for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, counts);
   }
   double value = 0;
   const double open = drained_at_ >= 0 || stalled_ ? 0 : openness_;
@@ -658,7 +663,7 @@
     Nanos& usual = usual_patience_.try_emplace({caller, type_id}, left).first->second;
     if (static_cast<double>(left) < later_try * static_cast<double>(usual))
       op.first_seen = op.arrived + left - type.op_timeout;
-    usual += (left > usual ? 1 : left < usual ? -1 : 0) * usual / 64;
+    usual += (left > usual ? 1 : left < usual ? -1 : 0) * usual / usual_step;
   }
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
@@ -666,7 +671,7 @@
   ++ops_by_caller_[caller];
   // Unread ops are seen by how long they have waited once read: a line no nack shows.
   if (waited > type.target_latency / unread_part) ++unread_lately_;
-  if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) / 0.5;
+  if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) * second / count_span;
 
   // Before the keys: a repeat that waits for its first takes memory too, and may not be nacked if that has
   // run.
@@ -683,7 +688,7 @@
   const bool keyed = type.repeats == Repeats::keyed;
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && key != no_key;
   if (keyed && !keep(now, op)) return turn_away(now, op);
-  if (shared && memory_with(key_kb_) < memory_limit_ / 2) {
+  if (shared && memory_with(key_kb_) < shared_part * memory_limit_) {
     keys_[id] = op.due + fresh_for_;
     op.kept = true;
     server_.keep_key(id, op.due + fresh_for_ - now);
@@ -697,10 +702,7 @@
   const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   Op& op = at->second;
-  if (op.kept && !op.ran) {
-    server_.forget_key(id);
-    keys_.erase(id);
-  }
+  drop_key(op);
   if (!op.answered) let_go(op);
   settle(now);
 }
@@ -723,7 +725,8 @@
   if (at->second.answered)
     at->second.stage = Stage::at_call;
   else
-    at_call(now, at->second);
+    park(at->second);
+  place_calls(now);
   settle(now);
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -77,7 +77,7 @@
   void after_run(Nanos now, Op& op, Outcome outcome, Nanos lag);
   // Final answers.
   void turn_away(Nanos now, Op& op);
-  void send_on(Nanos now, Op& op);
+  void send_on(Op& op);
   void give_up(Op& op);
   void let_go(Op& op);
   void overdue(Nanos now);
@@ -85,9 +85,10 @@
   // Memory and keys.
   double memory_with(double kb) const;
   bool keep(Nanos now, Op& op);
+  void drop_key(const Op& op);
   bool reuse_earlier(Nanos now, Op& op);
   // Calls.
-  void at_call(Nanos now, Op& op);
+  void park(Op& op);
   void place_calls(Nanos now);
   void after_call(Nanos now, Op& op, Outcome outcome);
   bool call_fits(Nanos time_out) const;
@@ -98,7 +99,7 @@
   // What callers are told.
   double alike_callers() const;
   void tell(Nanos now);
-  Nanos stay_away(Nanos now) const;
+  Nanos stay_away() const;
 
   Server& server_;
   Pcg chance_;
@@ -154,12 +155,11 @@
   std::map<CallerId, double> ops_by_caller_; // of late
   double openness_ = 1;
   double told_ = -1;
-  Nanos told_at_ = 0;
   Nanos max_stay_away_ = 0;
   double read_lately_ = 0;
   double nacked_lately_ = 0;
   double unread_lately_ = 0; // of those read, the ones that waited long for it
-  double reading_ = 0.25;    // part of the cores that goes to reading and the like
+  double reading_;           // part of the cores that goes to reading and the like
   double nacked_rank_ = 0;   // mean rank of those nacked last
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -63,12 +63,14 @@
 
 // How the logarithm of one size follows that of another: 1 in full, 0 not at all.
 class Slope {
-  static constexpr double step = 1.0 / 128;
+  double step_; // weight of one noted
   double x_ = 0, y_ = 0, xx_ = 0, xy_ = 0, seen_ = 0;
 
  public:
+  explicit Slope(double step) : step_(step) {}
+
   void note(double x, double y) {
-    const double lx = std::log(x), ly = std::log(y), by = std::max(step, 1 / ++seen_);
+    const double lx = std::log(x), ly = std::log(y), by = std::max(step_, 1 / ++seen_);
     const double dx = lx - x_, dy = ly - y_;
     x_ += by * dx;
     y_ += by * dy;
@@ -77,7 +79,7 @@
   }
   // Pulled to `prior`, which counts as `weight` of those seen, at unit spread.
   double value(double prior, double weight) const {
-    const double seen = std::min(seen_, 1 / step);
+    const double seen = std::min(seen_, 1 / step_);
     return std::clamp((xy_ * seen + prior * weight) / (xx_ * seen + weight), 0.0, 1.0);
   }
 };
--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -3,9 +3,7 @@
 #pragma once
 
 #include <compare>
-#include <cstddef>
 #include <cstdint>
-#include <functional>
 
 namespace cometshift {
 
@@ -28,10 +26,3 @@
 constexpr KeyId no_key{-1};
 
 } // namespace cometshift
-
-template <class Tag, class Raw>
-struct std::hash<cometshift::Id<Tag, Raw>> {
-  std::size_t operator()(const cometshift::Id<Tag, Raw>& id) const noexcept {
-    return std::hash<Raw>{}(id.raw);
-  }
-};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -77,11 +77,11 @@
   OpId id;
   OpTypeId type;
   TenantId tenant;
-  OpId earlier;         // the kept op that this one repeats
-  Nanos arrived = 0;    // at the machine
-  Nanos first_seen = 0; // when its first try is thought to have begun
-  Nanos due = 0;        // it must be answered by then
-  Nanos started = 0;
+  OpId earlier;           // the kept op that this one repeats
+  Nanos arrived = 0;      // at the machine
+  Nanos first_seen = 0;   // when its first try is thought to have begun
+  Nanos due = 0;          // it must be answered by then
+  Nanos latest_start = 0; // to be in time, as last planned
   Nanos on_core_since = 0;
   Nanos on_core = 0;   // time spent on the cores so far
   Nanos call_from = 0; // no call before then
