Keep silent connections for as long as the callers' silences make worth it

Now each idle time is priced by the silences seen. It should also hold against any site with many rare callers; it harms where a new connection costs far more, or an open one far less, than half of the told idle time makes it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -73,6 +73,9 @@
 constexpr double reading_step = 0.02;  // of the part of the cores that reading takes, a look: the last second
 constexpr double reading_first = 0.25; // that part before it was seen: wary of dear reading
 constexpr double told_change = 0.05;   // part of the value: less is not worth telling
+constexpr int connection_cost = 2;     // silent for the told idle time, it has cost so many new ones
+constexpr int idle_halvings = 6;       // least time that silent ones are kept: a 64th of the told one
+constexpr double idle_gain = 0.1;      // of the cost of connections: less isn't worth a change
 constexpr double forgotten = 0.1;      // ops of late by a caller: fewer are none
 constexpr double rank_step = 0.05;     // of a nacked op's rank in their mean: the last twenty or so
 constexpr double tokens_per_cap = 3;   // ops out here for each allowed to run, at full openness
@@ -86,7 +89,8 @@
 
 Choice::Choice(Nanos now, std::uint64_t seed, const Given& given, Server& server)
     : server_(server), chance_(seed), now_(now), born_(now), guess_slope_(guess_step),
-      calls_(span(given, "calls_over_ns", 5e9), now), call_time_(long_memory), reading_(reading_first) {
+      calls_(span(given, "calls_over_ns", 5e9), now), call_time_(long_memory), silences_(long_memory),
+      reading_(reading_first) {
   cores_ = needed(given, "cores", 1);
   cap_ = cores_;
   fall_multiple_ = needed(given, "fall_multiple", 1);
@@ -98,6 +102,7 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
+  idle_ = idle_told_ = span(given, "idle_ns", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = span(given, "call_linger_ns", 0);
   const std::string halt = text(given, "halt", "none");
@@ -597,13 +602,31 @@
 double Choice::alike_callers() const {
   double sum = 0;
   double squares = 0;
-  for (const auto& [caller, ops] : ops_by_caller_) {
-    sum += ops;
-    squares += ops * ops;
+  for (const auto& [id, caller] : by_caller_) {
+    sum += caller.ops;
+    squares += caller.ops * caller.ops;
   }
   return squares > 0 ? std::max(1.0, sum * sum / squares) : callers_;
 }
 
+// Guards against a table full of silent connections, where callers find no free slot while the cores stand
+// idle, and against paying for a new one with every op. Each caller's silences tell how many connections
+// would be open and how many be made anew with any idle time: the cheapest is taken. It may harm where a new
+// connection costs far more, or an open one far less, than half of the told idle time makes it.
+void Choice::steer_idle() {
+  if (idle_ <= 0 || silences_.total() < enough) return;
+  const auto cost = [&](Nanos kept) {
+    return silences_.part_over(kept) * static_cast<double>(idle_ / connection_cost) +
+           silences_.mean_up_to(kept);
+  };
+  Nanos best = idle_told_;
+  for (int halvings = 0; halvings <= idle_halvings; ++halvings)
+    if (cost(idle_ >> halvings) < cost(best)) best = idle_ >> halvings;
+  if (cost(best) > (1 - idle_gain) * cost(idle_told_)) return;
+  idle_told_ = best;
+  server_.idle_close(best);
+}
+
 void Choice::tell(Nanos now) {
   if (now - counted_from_ >= count_span) {
     const double counts = static_cast<double>(now - counted_from_) / static_cast<double>(count_span);
@@ -613,8 +636,11 @@
                         : std::min(1.0, openness_ + openness_step);
     read_lately_ = nacked_lately_ = unread_lately_ = 0;
     counted_from_ = now;
-    for (auto& [caller, ops] : ops_by_caller_) ops *= rate_keep;
-    std::erase_if(ops_by_caller_, [](const auto& entry) { return entry.second < forgotten; });
+    for (auto& [id, caller] : by_caller_) caller.ops *= rate_keep;
+    std::erase_if(by_caller_, [&](const auto& entry) {
+      return entry.second.ops < forgotten && now - entry.second.last > idle_;
+    });
+    steer_idle();
     for (Tenant& tenant : tenants_) tenant.seen *= std::pow(rate_keep, counts);
   }
   double value = 0;
@@ -668,7 +694,14 @@
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
   ++read_lately_;
-  ++ops_by_caller_[caller];
+  // A caller not heard of lately: as if all that there are called in turn.
+  ++read_;
+  const double turn =
+      std::min(callers_ * static_cast<double>(now - born_) / read_, static_cast<double>(idle_));
+  const auto [from, unheard] = by_caller_.try_emplace(caller);
+  silences_.note(unheard ? static_cast<Nanos>(turn) : now - from->second.last);
+  ++from->second.ops;
+  from->second.last = now;
   // Unread ops are seen by how long they have waited once read: a line no nack shows.
   if (waited > type.target_latency / unread_part) ++unread_lately_;
   if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) * second / count_span;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -96,7 +96,8 @@
   void note_call(Nanos now, Outcome outcome, Nanos lag);
   void leave_core(Nanos now, Op& op);
   void join_core(Nanos now, Op& op);
-  // What callers are told.
+  // What callers are told, and how long their connections stay.
+  void steer_idle();
   double alike_callers() const;
   void tell(Nanos now);
   Nanos stay_away() const;
@@ -152,10 +153,18 @@
   enum class Halt { none, drop, pause } halt_ = Halt::none;
   enum class Say { nothing, level, tokens, bias } say_ = Say::nothing;
   double callers_ = 1;
-  std::map<CallerId, double> ops_by_caller_; // of late
+  struct Caller {
+    double ops = 0; // of late
+    Nanos last = 0;
+  };
+  std::map<CallerId, Caller> by_caller_;
+  Histogram silences_; // between the ops of a caller
+  Nanos idle_ = 0;     // callers close a silent connection by themselves after it; 0: not told
+  Nanos idle_told_ = 0;
   double openness_ = 1;
   double told_ = -1;
   Nanos max_stay_away_ = 0;
+  double read_ = 0;
   double read_lately_ = 0;
   double nacked_lately_ = 0;
   double unread_lately_ = 0; // of those read, the ones that waited long for it
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -54,9 +54,20 @@
     }
     return total_ > 0 ? low_of(bins) : 0;
   }
-  double mean() const {
+  double mean() const { return mean_up_to(low_of(bins)); }
+  // The mean with every span over `most` taken for `most`.
+  double mean_up_to(Nanos most) const {
     double sum = 0;
-    for (int b = 0; b < bins; ++b) sum += count_[b] * 0.5 * static_cast<double>(low_of(b) + low_of(b + 1));
+    for (int b = 0; b < bins; ++b)
+      sum += count_[b] *
+             std::min(0.5 * static_cast<double>(low_of(b) + low_of(b + 1)), static_cast<double>(most));
+    return total_ > 0 ? sum / total_ : 0;
+  }
+  // The part of those noted that were longer; what lies in the last bin has no upper end.
+  double part_over(Nanos span) const {
+    double sum = count_[bins - 1];
+    for (int b = 0; b < bins - 1; ++b)
+      if (low_of(b) + low_of(b + 1) > 2 * span) sum += count_[b];
     return total_ > 0 ? sum / total_ : 0;
   }
 };
--- a/tests/callers.cpp
+++ b/tests/callers.cpp
@@ -35,6 +35,17 @@
   Scene b({{"say", std::string("bias")}});
   b.say("bias");
   b.drain(3000);
+  for (const double callers : {20.0, 500.0}) {
+    Scene c({{"callers", callers}, {"idle_ns", 30e9}});
+    c.say("callers in turn, each silent for as many tenths of a second: rare ones are closed soon");
+    for (unsigned id = 1; id < 80; ++id) {
+      c.quiet = true;
+      c.read(id, {.caller = id % static_cast<unsigned>(callers)});
+      c.ended(id);
+      c.quiet = false;
+      c.after(100);
+    }
+  }
   Scene n;
   n.say("nothing may be told");
   n.drain(3000);
