Ask not to try elsewhere where what comes has been nacked before

It should also hold in any storm of retries; it harms where the few servers with room are not found by first tries.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -78,6 +78,8 @@
 constexpr double idle_gain = 0.1;      // of the cost of connections: less isn't worth a change
 constexpr double forgotten = 0.1;      // ops of late by a caller: fewer are none
 constexpr double rank_step = 0.05;     // of a nacked op's rank in their mean: the last twenty or so
+constexpr double part_step = 1.0 / 32; // of an op in the parts of ops nacked or tried before
+constexpr double full_elsewhere = 4;   // times that part of the nacks ask not to try elsewhere
 constexpr double tokens_per_cap = 3;   // ops out here for each allowed to run, at full openness
 
 template <class T>
@@ -392,14 +394,21 @@
   ops_.erase(op.id);
 }
 
-// Nacks a held op that never ran; what did run is failed, since a nack would promise that it did not.
+// Nacks a held op that never ran; what did run is failed, since a nack would promise that it did not. Its
+// caller is asked not to try elsewhere if that is hopeless, if this was such a try already, and the likelier
+// the more of what comes has been nacked before (where that isn't marked: here). Guards against nacks that
+// only multiply reading and connecting where others are as full; harms where the few that have room are not
+// found by the first tries.
 void Choice::turn_away(Nanos now, Op& op) {
   if (op.ran) return give_up(op);
   ++nacked_lately_;
+  nacked_part_ += part_step;
   nacked_rank_ += (op.rank - nacked_rank_) * rank_step;
   drop_key(op);
   const bool hopeless = now + run_time(op, last_sureness) / faster_elsewhere > win_by(op);
-  server_.nack(op.id, hopeless, stay_away());
+  const bool full_too =
+      op.again || chance_.unit() < full_elsewhere * (marks_again_ ? again_part_ : nacked_part_);
+  server_.nack(op.id, hopeless || full_too, stay_away());
   forget(op);
 }
 
@@ -682,6 +691,7 @@
   op.hint = hint > 0 ? std::pow(op.guess, guess_slope_.value(guess_trust, guess_weight)) : 1;
   op.held_kb = held_kb;
   op.rank = rank;
+  op.again = again;
   op.due = patience > 0 ? now + patience : std::max(now, op.arrived + type.op_timeout);
   op.first_seen = op.arrived;
   if (patience > 0) { // a try with less left than this caller's usual began so much earlier
@@ -694,6 +704,8 @@
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
   ++read_lately_;
+  nacked_part_ -= nacked_part_ * part_step;
+  again_part_ += ((again ? 1 : 0) - again_part_) * part_step;
   // A caller not heard of lately: as if all that there are called in turn.
   ++read_;
   const double turn =
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -169,6 +169,8 @@
   double nacked_lately_ = 0;
   double unread_lately_ = 0; // of those read, the ones that waited long for it
   double reading_;           // part of the cores that goes to reading and the like
+  double nacked_part_ = 0; // of the last ops read
+  double again_part_ = 0;  // of those, further tries
   double nacked_rank_ = 0;   // mean rank of those nacked last
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -89,6 +89,7 @@
   double hint = 1;     // what is made of it
   double held_kb = 0;
   double rank = 0;
+  bool again = false; // marked as a further try
   bool kept = false;
   bool ran = false;      // has been started here, ever
   bool answered = false; // its final answer is given, or nobody waits; the run goes on
--- a/tests/hold.cpp
+++ b/tests/hold.cpp
@@ -32,4 +32,12 @@
   t.say("a tenant far over its share leaves first");
   for (unsigned id = 1; id <= 4; ++id) t.read(id, {.tenant = 1});
   for (unsigned id = 5; id <= 8; ++id) t.read(id, {.tenant = 0});
+  Scene u({{"marks_retry", 1.0}});
+  learn(u);
+  u.say("further tries (3 and 5) are asked not to go on elsewhere; with many of them about, first ones too");
+  for (unsigned id = 1; id <= 6; ++id) u.read(id, {.again = id == 3 || id == 5});
+  u.quiet = true;
+  for (unsigned id = 11; id <= 40; ++id) u.read(id, {.again = true});
+  u.quiet = false;
+  u.read(41);
 }
