--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -402,12 +402,13 @@
 void Choice::turn_away(Nanos now, Op& op) {
   if (op.ran) return give_up(op);
   ++nacked_lately_;
-  nacked_part_ += part_step;
+  if (!stalled_) nacked_part_ += part_step;
   nacked_rank_ += (op.rank - nacked_rank_) * rank_step;
   drop_key(op);
   const bool hopeless = now + run_time(op, last_sureness) / faster_elsewhere > win_by(op);
+  const bool alone = stalled_ || drained_at_ >= 0; // others need not be as badly off
   const bool full_too =
-      op.again || chance_.unit() < full_elsewhere * (marks_again_ ? again_part_ : nacked_part_);
+      !alone && (op.again || chance_.unit() < full_elsewhere * (marks_again_ ? again_part_ : nacked_part_));
   server_.nack(op.id, hopeless || full_too, stay_away());
   forget(op);
 }
