While nacks are rare a longer line may stand

Told from overload by cores at 41% busy and nacks of few ops in a hundred. Now the line allowed falls from 0.75 to 0.25 of the target latency as nacks come to an eighth. It should also hold for any small server; it harms where a rush comes too sudden for the nacks of late to show it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,10 +42,13 @@
 constexpr Nanos base_rise = 256;       // part of it a base rises a run: hundreds, so a jam doesn't become one
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
-constexpr double hold_part = 0.25;     // of the target latency: a longer wait leaves no time to go elsewhere
-constexpr double last_sureness = 0.05; // under this chance of being in time an op is not begun
-constexpr Nanos faster_elsewhere = 2;  // times: another server may be as much faster than this one
-constexpr double guess_trust = 0.5;    // of the spread of a caller's guess, before its worth is known
+constexpr double hold_part = 0.25;   // of the target latency: a longer wait leaves no time to go elsewhere
+constexpr double chance_part = 0.75; // the same while nacks are rare: a line by chance is soon gone
+constexpr double rare_nacks =
+    0.125; // part of the ops read: under it nacks are the rarer, the longer lines stay
+constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
+constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
+constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
 constexpr double guess_step = 1.0 / 128; // of a run in that worth: some hundred runs make it
 constexpr double guess_weight = 8;       // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
@@ -278,6 +281,8 @@
   double ahead =
       std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
   double line = 0;
+  const double chance = std::max(0.0, 1 - nacked_part_ / rare_nacks);
+  const double wait_part = hold_part + (chance_part - hold_part) * chance;
   std::vector<Op*> out;
   std::vector<Op*> kept;
   for (Op* op : held_) {
@@ -290,7 +295,7 @@
     const Nanos begin = now + static_cast<Nanos>((ahead * work + line) / cap_);
     line += work;
     const bool soon = static_cast<double>(begin - now) <=
-                      hold_part * static_cast<double>(types_[op->type.raw].target_latency);
+                      wait_part * static_cast<double>(types_[op->type.raw].target_latency);
     if (begin == now || (soon && winnable(*op, begin, planned_sureness))) continue;
     const auto worst = std::min_element(
         kept.begin(), kept.end(), [this](const Op* a, const Op* b) { return density(*a) < density(*b); });
