Tell later tries by patiences that come seldom, not by each caller's own

One small list for each op type takes the place of a map for each caller and type, which grew with the callers. It harms where first tries come with ever different patiences.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -37,8 +37,7 @@
 constexpr float long_memory = 64;      // ops until a histogram is halved: ten seconds or so of one op type
 constexpr float short_memory = 24;     // the same for what is to show the last seconds
 constexpr float enough = 8;            // ops in a histogram before it is believed
-constexpr double later_try = 0.9;      // of a caller's usual patience: less is a later try, not jitter
-constexpr Nanos usual_step = 64;       // part of it a usual patience moves at a time: dozens of ops to follow
+constexpr float usual_part = 0.1;      // of the patiences told: what comes more seldom is left of a later try
 constexpr Nanos base_rise = 256;       // part of it a base rises a run: hundreds, so a jam doesn't become one
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
@@ -132,7 +131,8 @@
     const std::string at = "op_type." + std::to_string(t) + ".";
     OpType type{.run_time = Histogram(long_memory),
                 .core_time = Histogram(long_memory),
-                .recent = Histogram(short_memory)};
+                .recent = Histogram(short_memory),
+                .patience = Usual(long_memory)};
     type.op_timeout = static_cast<Nanos>(needed(given, at + "op_timeout_ns", 1));
     type.target_latency = static_cast<Nanos>(needed(given, at + "target_latency_ns", 1));
     type.key_window = span(given, at + "key_window_ns", 0);
@@ -697,15 +697,15 @@
   op.hint = hint > 0 ? std::pow(op.guess, guess_slope_.value(guess_trust, guess_weight)) : 1;
   op.held_kb = held_kb;
   op.rank = rank;
-  op.again = again;
   op.due = patience > 0 ? now + patience : std::max(now, op.arrived + type.op_timeout);
   op.first_seen = op.arrived;
-  if (patience > 0) { // a try with less left than this caller's usual began so much earlier
-    const Nanos left = patience + waited;
-    Nanos& usual = usual_patience_.try_emplace({caller, type_id}, left).first->second;
-    if (static_cast<double>(left) < later_try * static_cast<double>(usual))
-      op.first_seen = op.arrived + left - type.op_timeout;
-    usual += (left > usual ? 1 : left < usual ? -1 : 0) * usual / usual_step;
+  op.again = again;
+  // Callers have few patiences, and first tries begin with one of them: another is what is left of the op
+  // timeout to a later try, and tells how old it is. Guards against running what nobody can use any more.
+  const Nanos left = patience + waited;
+  if (patience > 0 && type.patience.note(left) < usual_part && type.patience.total() >= enough) {
+    op.first_seen = std::min(op.arrived, op.arrived + left - type.op_timeout);
+    op.again = true;
   }
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
   memory_kb_ += held_kb;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -113,7 +113,6 @@
   std::vector<Op*> held_;    // in the order of their latest starts once planned
   std::vector<Op*> at_call_; // parked at a call, in the order of coming there
 
-  std::map<std::pair<CallerId, OpTypeId>, Nanos> usual_patience_; // a median that moves by small steps
   double cores_ = 0;
   double cap_ = 0;
   double fall_multiple_ = 0;
@@ -169,8 +168,8 @@
   double nacked_lately_ = 0;
   double unread_lately_ = 0; // of those read, the ones that waited long for it
   double reading_;           // part of the cores that goes to reading and the like
-  double nacked_part_ = 0; // of the last ops read
-  double again_part_ = 0;  // of those, further tries
+  double nacked_part_ = 0;   // of the last ops read
+  double again_part_ = 0;    // of those, further tries
   double nacked_rank_ = 0;   // mean rank of those nacked last
   Nanos counted_from_ = 0;
   double over_share_worth_ = 1;
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -72,6 +72,43 @@
   }
 };
 
+// The few spans that come again and again among others that don't.
+class Usual {
+  static constexpr int kept = 8;
+  std::array<Nanos, kept> span_{};
+  std::array<float, kept> count_{};
+  float total_ = 0;
+  float most_;
+
+ public:
+  explicit Usual(float most) : most_(most) {}
+
+  // Notes a span; the part of those noted lately that came within a 64th of it.
+  float note(Nanos span) {
+    int at = 0;
+    for (int i = 0; i < kept; ++i) {
+      if (count_[i] > 0 && std::abs(span_[i] - span) <= span / 64) {
+        at = i;
+        break;
+      }
+      if (count_[i] < count_[at]) at = i;
+    }
+    if (count_[at] == 0 || std::abs(span_[at] - span) > span / 64) {
+      span_[at] = span;
+      count_[at] = 0;
+    }
+    count_[at] += 1;
+    total_ += 1;
+    const float part = count_[at] / total_;
+    if (total_ >= most_) {
+      for (float& c : count_) c /= 2;
+      total_ /= 2;
+    }
+    return part;
+  }
+  float total() const { return total_; }
+};
+
 // How the logarithm of one size follows that of another: 1 in full, 0 not at all.
 class Slope {
   double step_; // weight of one noted
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -65,6 +65,7 @@
   Histogram run_time;  // from start to end, calls included
   Histogram core_time; // the same without the calls
   Histogram recent;    // core time of late
+  Usual patience;      // of callers, where ops tell it
   Nanos base = 0;      // core time when all is well
 };
 
