Count a later try's age from the next longer usual patience

A caller that goes on after a nack has what is left of its own wait, not of the op timeout; the age came out two seconds too long. Told from real lateness by ops that came with 1.4 s where the usual patience is 1.5 s.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -700,11 +700,12 @@
   op.due = patience > 0 ? now + patience : std::max(now, op.arrived + type.op_timeout);
   op.first_seen = op.arrived;
   op.again = again;
-  // Callers have few patiences, and first tries begin with one of them: another is what is left of the op
-  // timeout to a later try, and tells how old it is. Guards against running what nobody can use any more.
+  // Callers have few patiences, and first tries begin with one of them: another is what is left to a later
+  // one, and tells how old it is. Guards against running what nobody can use any more.
   const Nanos left = patience + waited;
   if (patience > 0 && type.patience.note(left) < usual_part && type.patience.total() >= enough) {
-    op.first_seen = std::min(op.arrived, op.arrived + left - type.op_timeout);
+    op.first_seen =
+        op.arrived + std::min<Nanos>(0, left - type.patience.next_over(left, usual_part, type.op_timeout));
     op.again = true;
   }
   if (drained_at_ >= 0) op.due = std::min(op.due, answer_by_);
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -107,6 +107,12 @@
     return part;
   }
   float total() const { return total_; }
+  // The shortest that at least `part` came with and that is longer than a span, else `otherwise`.
+  Nanos next_over(Nanos span, float part, Nanos otherwise) const {
+    for (int i = 0; i < kept; ++i)
+      if (count_[i] >= part * total_ && span_[i] > span) otherwise = std::min(otherwise, span_[i]);
+    return otherwise;
+  }
 };
 
 // How the logarithm of one size follows that of another: 1 in full, 0 not at all.
--- a/tests/patience.cpp
+++ b/tests/patience.cpp
@@ -14,6 +14,9 @@
     s.after(300);
     if (s.running.contains(OpId{id})) s.ended(id, Outcome::done, 300);
   }
-  s.say("less than the caller's usual: a later try, here one whose time is over");
-  s.read(21, {.patience = 1500, .caller = 1});
+  Scene t;
+  t.say("not a usual one: as old as it is shorter than the next that is; 38 has 150 ms left, runs take 300");
+  for (unsigned id = 21; id <= 36; ++id) t.read(id, {.patience = 2100}), t.ended(id, Outcome::done, 300);
+  t.read(37, {.patience = 1500});
+  t.read(38, {.patience = 250});
 }
