Pause a run with time to spare for a held op that has none

Told from too long a line by the waits of each op type. Where runs can be paused, the one with most time to spare gives its core to the op whose time runs out; the cap stays. It should also hold for any op type far shorter than the others; it harms where memory is short.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -44,7 +44,9 @@
 constexpr double hold_part = 0.25;   // of the target latency: a longer wait leaves no time to go elsewhere
 constexpr double chance_part = 0.75; // the same while nacks are rare: a line by chance is soon gone
 constexpr double rare_nacks =
-    0.125; // part of the ops read: under it nacks are the rarer, the longer lines stay
+    0.125;                      // part of the ops read: under it nacks are the rarer, the longer lines stay
+constexpr Nanos least_left = 4; // part of a run that a paused one is thought to need at the least
+constexpr Nanos spare_runs = 2; // of the urgent op: a run that is paused for it must have more to spare
 constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
 constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
@@ -249,7 +251,8 @@
 Nanos Choice::run_time(const Op& op, double sureness) const {
   const OpType& type = types_[op.type.raw];
   if (type.run_time.total() < enough) return core_time(op);
-  return static_cast<Nanos>(static_cast<double>(type.run_time.quantile(sureness)) * op.hint);
+  const Nanos whole = static_cast<Nanos>(static_cast<double>(type.run_time.quantile(sureness)) * op.hint);
+  return std::max(whole / least_left, whole - op.on_core); // a paused one has done a part
 }
 
 Nanos Choice::win_by(const Op& op) const {
@@ -309,7 +312,7 @@
 
 bool Choice::may_start(Nanos now, const Op& op) const {
   if (on_core_ >= static_cast<int>(cap_) || running_ >= static_cast<int>(survivable(now))) return false;
-  if (memory_with(op.held_kb * (run_factor_ - 1)) > memory_part * memory_limit_) return false;
+  if (!op.paused && memory_with(op.held_kb * (run_factor_ - 1)) > memory_part * memory_limit_) return false;
   const OpType& type = types_[op.type.raw];
   return !type.may_call || type.without_share > 0 || breaker_lets(now);
 }
@@ -332,15 +335,43 @@
       ++i;
     }
   }
+  make_room(now);
   if (held_.empty())
     held_since_ = 0;
   else if (held_since_ == 0)
     held_since_ = now;
 }
 
+// Pauses a run that has time to spare for a held op that has none, where runs can be paused. Guards against
+// short target latencies being missed behind long runs, which on few cores may hold all of them; the cap
+// stays. It may harm where memory is short, as what is paused keeps it.
+void Choice::make_room(Nanos now) {
+  if (halt_ != Halt::pause || on_core_ < static_cast<int>(cap_)) return;
+  for (Op* op : held_) {
+    const Nanos needs = core_time(*op);
+    if (op->paused || op->latest_start - now > needs) continue;
+    Op* longest = nullptr;
+    Nanos most = spare_runs * needs;
+    for (auto& [id, other] : ops_) {
+      if (other.pausing) return; // one is on its way
+      if (other.stage != Stage::on_core || other.answered || other.hung || other.paused ||
+          types_[other.type.raw].repeats != Repeats::retryable)
+        continue;
+      if (const Nanos spare = win_by(other) - now - run_time(other, planned_sureness); spare > most) {
+        longest = &other;
+        most = spare;
+      }
+    }
+    if (!longest) return;
+    longest->pausing = true;
+    server_.halt(longest->id);
+    return;
+  }
+}
+
 void Choice::start(Nanos now, Op& op) {
   drop_from(held_, &op);
-  memory_kb_ += op.held_kb * (run_factor_ - 1);
+  if (!op.paused) memory_kb_ += op.held_kb * (run_factor_ - 1);
   ++running_;
   op.ran = true;
   join_core(now, op);
@@ -360,6 +391,7 @@
 void Choice::leave_core(Nanos now, Op& op) {
   if (op.stage != Stage::on_core) return;
   op.on_core += now - op.on_core_since;
+  op.pausing = false;
   --on_core_;
   progress_at_ = now;
   stalled_ = false;
@@ -370,19 +402,21 @@
   if (op.stage == Stage::calling) lingering_.push_back(now + linger_); // its call is given up, not gone
   drop_from(at_call_, &op);
   --running_;
-  memory_kb_ -= op.held_kb * (run_factor_ - 1);
+  const bool back = outcome == Outcome::halted && !op.answered; // fell back into the hold
+  op.paused = op.paused || (back && halt_ == Halt::pause);
+  if (!back || !op.paused) memory_kb_ -= op.held_kb * (run_factor_ - 1);
   if (outcome == Outcome::done && !op.hung) {
     OpType& type = types_[op.type.raw];
     const Nanos core = static_cast<Nanos>(static_cast<double>(op.on_core) / op.hint);
     if (op.guess > 0 && op.on_core > 0) guess_slope_.note(op.guess, static_cast<double>(op.on_core));
-    type.run_time.note(static_cast<Nanos>(static_cast<double>(lag) / op.hint));
+    if (!op.paused) type.run_time.note(static_cast<Nanos>(static_cast<double>(lag) / op.hint));
     type.core_time.note(core);
     type.recent.note(core);
     const Nanos usual = type.recent.quantile(0.5);
     if (type.recent.total() >= enough)
       type.base = type.base == 0 ? usual : std::min(usual, type.base + type.base / base_rise);
   }
-  if (outcome == Outcome::halted && !op.answered) { // fell back into the hold
+  if (back) {
     op.stage = Stage::held;
     held_.push_back(&op);
     if (types_[op.type.raw].repeats != Repeats::retryable) give_up(op);
@@ -396,7 +430,7 @@
 void Choice::forget(Op& op) {
   drop_from(held_, &op);
   drop_from(at_call_, &op);
-  memory_kb_ -= op.held_kb;
+  memory_kb_ -= op.held_kb * (op.paused && op.stage == Stage::held ? run_factor_ : 1);
   ops_.erase(op.id);
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -73,6 +73,7 @@
   void plan(Nanos now);
   void settle(Nanos now);
   bool may_start(Nanos now, const Op& op) const;
+  void make_room(Nanos now);
   void start(Nanos now, Op& op);
   void after_run(Nanos now, Op& op, Outcome outcome, Nanos lag);
   // Final answers.
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -94,6 +94,8 @@
   bool kept = false;
   bool ran = false;      // has been started here, ever
   bool answered = false; // its final answer is given, or nobody waits; the run goes on
+  bool pausing = false;  // asked to pause
+  bool paused = false;   // has been, and keeps its memory while held
   bool hung = false;     // stood on cores that stood still
   bool call_may_have_run = false;
   Stage stage = Stage::held;
--- /dev/null
+++ b/tests/pause.cpp
@@ -0,0 +1,27 @@
+#include "scene.hpp"
+
+int main() {
+  Scene s({{"halt", std::string("pause")},
+           {"op_type.1.repeats", std::string("retryable")},
+           {"op_type.1.target_latency_ns", 500e6}});
+  s.quiet = true;
+  for (unsigned id = 101; id <= 140; ++id) {
+    s.read(id, {.type = id % 2, .kb = 1});
+    s.after(id % 2 ? 100 : 400);
+    s.ended(id, Outcome::done, id % 2 ? 100 : 400);
+  }
+  s.quiet = false;
+  s.say("two long runs with time to spare; a short one is held, and gets a core once its own time runs out");
+  s.read(1, {.kb = 900});
+  s.read(2, {.kb = 900});
+  s.read(3, {.type = 1});
+  s.after(360);
+  s.say("what was paused goes on when there is room, and keeps its memory: 4 would be too much with it");
+  s.ended(1, Outcome::halted);
+  s.read(4, {.kb = 700});
+  s.after(40);
+  s.ended(3, Outcome::done, 40);
+  s.after(100);
+  s.ended(2, Outcome::done, 100);
+  s.ended(1, Outcome::done, 440);
+}
