--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -285,6 +285,9 @@
   double ahead =
       std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
   double line = 0;
+  double running = 0; // mean work of what is on the cores
+  for (const auto& [id, op] : ops_)
+    if (op.stage == Stage::on_core) running += static_cast<double>(core_time(op)) / on_core_;
   const double chance = std::max(0.0, 1 - nacked_part_ / rare_nacks);
   const double wait_part = hold_part + (chance_part - hold_part) * chance;
   std::vector<Op*> out;
@@ -296,7 +299,7 @@
     }
     kept.push_back(op);
     const double work = static_cast<double>(core_time(*op));
-    const Nanos begin = now + static_cast<Nanos>((ahead * work + line) / cap_);
+    const Nanos begin = now + static_cast<Nanos>((ahead * std::min(work, running) + line) / cap_);
     line += work;
     const bool soon = static_cast<double>(begin - now) <=
                       wait_part * static_cast<double>(types_[op->type.raw].target_latency);
--- a/tests/hold.cpp
+++ b/tests/hold.cpp
@@ -37,4 +37,19 @@
   for (unsigned id = 11; id <= 40; ++id) u.read(id, {.again = true});
   u.quiet = false;
   u.read(41);
+  Scene v;
+  v.quiet = true;
+  for (unsigned id = 101; id <= 120; ++id) {
+    v.read(id, {.type = id % 2, .kb = 1});
+    v.after(id % 2 ? 1200 : 100);
+    v.ended(id, Outcome::done, id % 2 ? 1200 : 100);
+  }
+  for (unsigned id = 1; id <= 60; ++id) v.read(id);
+  while (!v.running.empty()) v.ended(static_cast<unsigned>(v.running.begin()->raw));
+  for (unsigned id = 61; id <= 62; ++id) v.read(id);
+  v.quiet = false;
+  v.say(
+      "short ones run and nacks are not rare; a long one (12 times theirs) waits for them, not for its like");
+  v.read(63, {.type = 1});
+  v.ended(61);
 }
