--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,7 +47,7 @@
     0.125;                      // part of the ops read: under it nacks are the rarer, the longer lines stay
 constexpr Nanos least_left = 4; // part of a run that a paused one is thought to need at the least
 constexpr Nanos spare_runs = 2; // of the urgent op: a run that is paused for it must have more to spare
-constexpr double last_sureness = 0.05;   // under this chance of being in time an op is not begun
+constexpr double last_sureness = 0.2;   // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
 constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
 constexpr double guess_step = 1.0 / 128; // of a run in that worth: some hundred runs make it
