Runs at a brief call count under the cap

A call lasts 11 ms of a run of 300; the op started meanwhile makes three on two cores until it ends, and past some number all slow each other. Where calls are usually shorter than a twentieth of a run, runs at one count, less a fifth of the cores. A departure from the design's 'waiting on a call is not counted'; harms where runs over the cores cost nothing.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,7 +47,7 @@
     0.125;                      // part of the ops read: under it nacks are the rarer, the longer lines stay
 constexpr Nanos least_left = 4; // part of a run that a paused one is thought to need at the least
 constexpr Nanos spare_runs = 2; // of the urgent op: a run that is paused for it must have more to spare
-constexpr double last_sureness = 0.2;   // under this chance of being in time an op is not begun
+constexpr double last_sureness = 0.2;    // under this chance of being in time an op is not begun
 constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
 constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
 constexpr double guess_step = 1.0 / 128; // of a run in that worth: some hundred runs make it
@@ -55,6 +55,9 @@
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail = 2;     // times the 95th of 100 calls after a failure, four else: longer is lost
 constexpr double slow_call = 0.95; // part of the calls that are shorter: the tail is looked at from there
+constexpr double brief_call =
+    0.05; // of a run: waiting it out idles a core for less than one run too many costs
+constexpr double crowd_room = 0.2; // of the cores: so many runs over the cap hardly slow the others
 constexpr double lone_part = 0.5;  // of the share that a lone short call may find used: it adds little itself
 constexpr int call_steps = 4;      // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call =
@@ -313,8 +316,20 @@
   for (Op* op : out) turn_away(now, *op);
 }
 
+// Runs at a call so short that they are back before another would get anywhere: they count under the cap.
+// Guards against one run too many on few cores, which all slow each other for its whole length; harms where
+// runs over the cores cost nothing.
+int Choice::returning() const {
+  double work = 0;
+  for (const OpType& type : types_) work = std::max(work, type.core_time.mean());
+  const bool brief =
+      call_time_.total() >= enough && static_cast<double>(call_time_.quantile(0.5)) < brief_call * work;
+  return brief ? std::max(0, calling_ - static_cast<int>(crowd_room * cores_)) : 0;
+}
+
 bool Choice::may_start(Nanos now, const Op& op) const {
-  if (on_core_ >= static_cast<int>(cap_) || running_ >= static_cast<int>(survivable(now))) return false;
+  if (on_core_ + returning() >= static_cast<int>(cap_) || running_ >= static_cast<int>(survivable(now)))
+    return false;
   if (!op.paused && memory_with(op.held_kb * (run_factor_ - 1)) > memory_part * memory_limit_) return false;
   const OpType& type = types_[op.type.raw];
   return !type.may_call || type.without_share > 0 || breaker_lets(now);
@@ -402,6 +417,7 @@
 
 void Choice::after_run(Nanos now, Op& op, Outcome outcome, Nanos lag) {
   leave_core(now, op);
+  if (op.stage == Stage::calling) --calling_;
   if (op.stage == Stage::calling) lingering_.push_back(now + linger_); // its call is given up, not gone
   drop_from(at_call_, &op);
   --running_;
@@ -593,6 +609,7 @@
     if (!op->call_may_have_run && breaker_lets(now) && room && fits) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
+      ++calling_;
       calls_.change(now, 1);
       if (failures_in_row_ >= failures_to_open) trial_out_ = true;
       op->when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
@@ -625,6 +642,7 @@
 }
 
 void Choice::after_call(Nanos now, Op& op, Outcome outcome) {
+  --calling_;
   if (outcome == Outcome::timed_out)
     lingering_.push_back(now + linger_);
   else
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -72,6 +72,7 @@
   double density(const Op& op) const;
   void plan(Nanos now);
   void settle(Nanos now);
+  int returning() const;
   bool may_start(Nanos now, const Op& op) const;
   void make_room(Nanos now);
   void start(Nanos now, Op& op);
@@ -122,6 +123,7 @@
   bool born_cold_ = false;
   int running_ = 0; // started and not ended, waiting at calls too
   int on_core_ = 0;
+  int calling_ = 0;
   Nanos held_since_ = 0;
   Nanos cut_at_ = 0;
   Nanos progress_at_ = 0; // when a run last ended or came to a call
