--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,6 +40,7 @@
 constexpr float usual_part = 0.1;      // of the patiences told: what comes more seldom is left of a later try
 constexpr Nanos base_rise = 256;       // part of it a base rises a run: hundreds, so a jam doesn't become one
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
+constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
 constexpr double hold_part = 0.25;   // of the target latency: a longer wait leaves no time to go elsewhere
 constexpr double chance_part = 0.75; // the same while nacks are rare: a line by chance is soon gone
 constexpr double rare_nacks =
@@ -788,6 +789,12 @@
     return earlier != no_op ? give_up(op) : turn_away(now, op);
   if (earlier != no_op && reuse_earlier(now, op)) return;
   if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op);
+  // A big op that is likelier than not to be late on these cores is better off on faster ones. Only first
+  // tries are sent on, so that none is sent round, and only where further tries are told from them.
+  if (marks_again_ && !again && hint > 0 && !winnable(op, now, sent_on_sureness) &&
+      now + run_time(op, sent_on_sureness) / faster_elsewhere <= win_by(op)) {
+    return turn_away(now, op);
+  }
   const bool keyed = type.repeats == Repeats::keyed;
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && key != no_key;
   if (keyed && !keep(now, op)) return turn_away(now, op);
