--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,13 +53,11 @@
 constexpr double guess_step = 1.0 / 128; // of a run in that worth: some hundred runs make it
 constexpr double guess_weight = 8;       // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
-constexpr Nanos call_tail = 2;     // times the 95th of 100 calls after a failure, four else: longer is lost
-constexpr double slow_call = 0.95; // part of the calls that are shorter: the tail is looked at from there
-constexpr double brief_call =
-    0.05; // of a run: waiting it out idles a core for less than one run too many costs
-constexpr double crowd_room = 0.2; // of the cores: so many runs over the cap hardly slow the others
-constexpr double lone_part = 0.5;  // of the share that a lone short call may find used: it adds little itself
-constexpr int call_steps = 4;      // points of a call's time at which the mean in hand is looked at
+constexpr Nanos call_tail = 2;      // times the 95th of 100 calls after a failure, four else: longer is lost
+constexpr double slow_call = 0.95;  // part of the calls that are shorter: the tail is looked at from there
+constexpr double brief_call = 0.05; // of a run: waiting it out idles a core less than a run too many costs
+constexpr double lone_part = 0.5; // of the share that a lone short call may find used: it adds little itself
+constexpr int call_steps = 4;     // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call =
     200 * ms;                       // a call's time-out where little fits and none was seen: some round trips
 constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
@@ -323,8 +321,8 @@
   double work = 0;
   for (const OpType& type : types_) work = std::max(work, type.core_time.mean());
   const bool brief =
-      call_time_.total() >= enough && static_cast<double>(call_time_.quantile(0.5)) < brief_call * work;
-  return brief ? std::max(0, calling_ - static_cast<int>(crowd_room * cores_)) : 0;
+      call_time_.total() >= enough && static_cast<double>(call_time_.quantile(slow_call)) < brief_call * work;
+  return brief ? calling_ : 0;
 }
 
 bool Choice::may_start(Nanos now, const Op& op) const {
