--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -208,9 +208,9 @@
 
 // Guards against cores that stand still or crawl while ops go on being read: no run has ended or come to a
 // call for far longer than as many as run should take. Then nothing is taken, what is held is nacked so that
-// it can go elsewhere, and so are the retryable ops that hang on the cores; health turns bad until runs get
-// on again. It may harm a server on which one run is truly that long; such a run alone has to take many times
-// the mean.
+// it can go elsewhere, and so are the retryable ops that hang on the cores. Health stays as stored: in a
+// storm many servers stall for a moment, and those left on the list would get the traffic of all. It may harm
+// a server on which one run is truly that long; such a run alone has to take many times the mean.
 void Choice::watch(Nanos now) {
   double work = 0;
   bool known = true;
@@ -231,11 +231,6 @@
       if (types_[op.type.raw].repeats == Repeats::retryable) send_on(op);
     }
   }
-  if (stalled_) good_from_ = now + gauge_span;
-  const bool good = drained_at_ < 0 && now >= good_from_;
-  if (good == good_) return;
-  good_ = good;
-  server_.health(good, true);
 }
 
 // ---- the hold
@@ -883,8 +878,7 @@
   pass_to(now);
   if (drained_at_ >= 0) return;
   drained_at_ = now;
-  if (good_) server_.health(false, true);
-  good_ = false;
+  server_.health(false, true);
   answer_by_ = now + until_kill - 2 * tick;
   Nanos run = 0;
   for (const OpType& type : types_) run = std::max(run, type.run_time.quantile(planned_sureness));
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -128,8 +128,6 @@
   Nanos cut_at_ = 0;
   Nanos progress_at_ = 0; // when a run last ended or came to a call
   bool stalled_ = false;
-  bool good_ = true; // the stored health
-  Nanos good_from_ = 0;
   Nanos grown_at_ = 0;
   double busy_ = 1;
   double wanting_core_ = -1; // runs, reading and the like that want a core now; -1: not told
