--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -5,11 +5,11 @@
 // The design (docs/design.md) decides the ordinary path: health is stored and turns bad at the drain notice,
 // ops are served through the shutdown delay, and a cap bounds the running ops. Beside it stand six
 // mechanisms:
-//   1. hold: the order, and which ops are nacked, by importance that can still be won per expected work
+//   1. hold: the order, pauses for urgent ops, and which are nacked, by importance still to be won per work
 //   2. guard: memory and the crowd on the cores, by warmth; every op answered by its due time
 //   3. keys: repeats of keyed ops are known and never run twice; reads may share answers
 //   4. calls: a budget, time-outs, a breaker, answers without the call
-//   5. callers: the value they are told, advice to stay away, and not to retry elsewhere
+//   5. callers: the value they are told, advice to stay away and not to retry elsewhere, idle connections
 //   6. stall watch: progress is asked for before the gauge of the cores is believed
 #include "choice.hpp"
 
