--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -139,6 +139,18 @@
     choice_->op_read(now_, OpId{id}, OpTypeId{r.type}, TenantId{r.tenant}, KeyId{r.key}, CallerId{r.caller},
                      r.patience * ms, r.waited * ms, 0, r.kb, 0.5, r.again, r.earlier);
   }
+  // Teaches runs of such lengths in ms of the two op types, each with a call if that has one; prints nothing.
+  void learn(Nanos retryable, Nanos keyed, int ops = 20, Nanos call = 0) {
+    quiet = true;
+    for (unsigned id = 100; ops-- > 0; ++id) {
+      const Nanos length = id % 2 ? keyed : retryable;
+      read(id, {.type = id % 2, .kb = 1});
+      after(length);
+      if (call > 0) wants_call(id), after(call), called(id, Outcome::done, call);
+      ended(id, Outcome::done, length + call);
+    }
+    quiet = false;
+  }
   void gone(unsigned id) { choice_->op_gone(now_, OpId{id}); }
   void ended(unsigned id, Outcome outcome = Outcome::done, Nanos lag = 100) {
     running.erase(OpId{id});
