--- a/tests/hold.cpp
+++ b/tests/hold.cpp
@@ -37,4 +37,13 @@
       "short ones run and nacks are not rare; a long one (12 times theirs) waits for them, not for its like");
   v.read(63, {.type = 1});
   v.ended(61);
+  Scene w({{"marks_retry", 1.0}});
+  w.quiet = true;
+  for (unsigned id = 1; id <= 20; ++id)
+    w.read(id, {.hint = 100}), w.after(200), w.ended(id, Outcome::done, 200);
+  w.quiet = false;
+  w.say("a guess far over the usual: a first try that is likelier late than not is sent on, a further one "
+        "runs");
+  w.read(21, {.hint = 15000});
+  w.read(22, {.again = true, .hint = 15000});
 }
--- a/tests/pause.cpp
+++ b/tests/pause.cpp
@@ -12,7 +12,7 @@
   s.after(360);
   s.say("what was paused goes on when there is room, and keeps its memory: 4 would be too much with it");
   s.ended(1, Outcome::halted);
-  s.read(4, {.kb = 700});
+  s.read(4, {.kb = 1000});
   s.after(40);
   s.ended(3, Outcome::done, 40);
   s.after(100);
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -24,6 +24,7 @@
   OpId earlier = no_op;
   unsigned caller = 0;
   bool again = false;
+  Nanos hint = 0; // ms
 };
 
 class Scene final : public Server {
@@ -137,7 +138,7 @@
   }
   void read(unsigned id, Read r = {}) {
     choice_->op_read(now_, OpId{id}, OpTypeId{r.type}, TenantId{r.tenant}, KeyId{r.key}, CallerId{r.caller},
-                     r.patience * ms, r.waited * ms, 0, r.kb, 0.5, r.again, r.earlier);
+                     r.patience * ms, r.waited * ms, r.hint * ms, r.kb, 0.5, r.again, r.earlier);
   }
   // Teaches runs of such lengths in ms of the two op types, each with a call if that has one; prints nothing.
   void learn(Nanos retryable, Nanos keyed, int ops = 20, Nanos call = 0) {
