Clean-up: what was counted, summed or asked twice stands once

Calls under way follow from the calls in hand less those given up; the cap, which no held op changes, is asked once a step and not for each; the work on the cores is summed in one place, and only where a run is ahead; each idle time is priced once; a caller's silence is a step of its own; the adapter takes a list of settings by one function instead of three loops.

--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -192,6 +192,10 @@
 void take(Given& given, const object& from, std::string_view name, const std::string& ours) {
   if (element at; from[name].get(at) == simdjson::SUCCESS) put(given, at, ours);
 }
+using Names = std::initializer_list<std::pair<const char*, const char*>>; // the wire's and ours
+void take_all(Given& given, const object& from, const std::string& before, Names names) {
+  for (const auto& [wire, ours] : names) take(given, from, wire, before + ours);
+}
 void take_row(Given& given, const object& from, std::string_view name, const std::string& before,
               const std::string& after) {
   simdjson::dom::array row;
@@ -212,39 +216,37 @@
   take(given, config, "over_share_worth", "over_share_worth");
   take(given, config, "period_ns", "period_ns");
   if (object info; config["family_info"].get(info) == simdjson::SUCCESS) {
-    for (const auto& [wire, ours] :
-         std::initializer_list<std::pair<const char*, const char*>>{{"below", "below"},
-                                                                    {"callers", "callers"},
-                                                                    {"calls_out", "call_share"},
-                                                                    {"calls_over_ns", "calls_over_ns"},
-                                                                    {"cold", "cold"},
-                                                                    {"cpus", "cores"},
-                                                                    {"deep_checks", "deep_checks"},
-                                                                    {"fresh_for_ns", "fresh_for_ns"},
-                                                                    {"halt", "halt"},
-                                                                    {"heeded_ns", "heeded_ns"},
-                                                                    {"idle_ns", "idle_ns"},
-                                                                    {"key_kb", "key_kb"},
-                                                                    {"list_follows", "list_follows"},
-                                                                    {"mem_limit_kb", "memory_kb"},
-                                                                    {"run_factor", "run_factor"},
-                                                                    {"say", "say"},
-                                                                    {"stays_for_ns", "call_linger_ns"},
-                                                                    {"tells_gone", "tells_gone"}})
-      take(given, info, wire, ours);
+    take_all(given, info, "",
+             {{"below", "below"},
+              {"callers", "callers"},
+              {"calls_out", "call_share"},
+              {"calls_over_ns", "calls_over_ns"},
+              {"cold", "cold"},
+              {"cpus", "cores"},
+              {"deep_checks", "deep_checks"},
+              {"fresh_for_ns", "fresh_for_ns"},
+              {"halt", "halt"},
+              {"heeded_ns", "heeded_ns"},
+              {"idle_ns", "idle_ns"},
+              {"key_kb", "key_kb"},
+              {"list_follows", "list_follows"},
+              {"mem_limit_kb", "memory_kb"},
+              {"run_factor", "run_factor"},
+              {"say", "say"},
+              {"stays_for_ns", "call_linger_ns"},
+              {"tells_gone", "tells_gone"}});
     take_row(given, info, "gauges", "gauge.", "");
     take_row(given, info, "calls_by_class", "op_type.", ".may_call");
     take_row(given, info, "class_skip_worth", "op_type.", ".without_share");
   }
   if (object rules; config["invariants"].get(rules) == simdjson::SUCCESS)
-    for (const auto& [wire, ours] :
-         std::initializer_list<std::pair<const char*, const char*>>{{"answer_slack_ns", "answer_slack_ns"},
-                                                                    {"cold_from", "cold_from"},
-                                                                    {"warm_after_ns", "warm_after_ns"},
-                                                                    {"drain_grace_ns", "drain_grace_ns"},
-                                                                    {"fall_multiple", "fall_multiple"},
-                                                                    {"fall_ns", "fall_ns"}})
-      take(given, rules, wire, ours);
+    take_all(given, rules, "",
+             {{"answer_slack_ns", "answer_slack_ns"},
+              {"cold_from", "cold_from"},
+              {"warm_after_ns", "warm_after_ns"},
+              {"drain_grace_ns", "drain_grace_ns"},
+              {"fall_multiple", "fall_multiple"},
+              {"fall_ns", "fall_ns"}});
   if (object limits; config["limits"].get(limits) == simdjson::SUCCESS) {
     take(given, limits, "retry_after", "stay_away_heeded");
     take(given, limits, "max_retry_after_ns", "max_stay_away_ns");
@@ -259,15 +261,14 @@
     for (const element at : types) {
       const object type = entry_of(at, "categories");
       const std::string before = "op_type." + std::to_string(i++) + ".";
-      for (const auto& [wire, ours] :
-           std::initializer_list<std::pair<const char*, const char*>>{{"deadline_ns", "op_timeout_ns"},
-                                                                      {"target_ns", "target_latency_ns"},
-                                                                      {"key_ttl_ns", "key_window_ns"},
-                                                                      {"importance", "importance"},
-                                                                      {"late_share", "late_share"},
-                                                                      {"aim_stretch", "target_stretch"},
-                                                                      {"effect", "repeats"}})
-        take(given, type, wire, before + ours);
+      take_all(given, type, before,
+               {{"deadline_ns", "op_timeout_ns"},
+                {"target_ns", "target_latency_ns"},
+                {"key_ttl_ns", "key_window_ns"},
+                {"importance", "importance"},
+                {"late_share", "late_share"},
+                {"aim_stretch", "target_stretch"},
+                {"effect", "repeats"}});
     }
   i = 0;
   if (simdjson::dom::array tenants; config["parties"].get(tenants) == simdjson::SUCCESS)
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -212,24 +212,20 @@
 // storm many servers stall for a moment, and those left on the list would get the traffic of all. It may harm
 // a server on which one run is truly that long; such a run alone has to take many times the mean.
 void Choice::watch(Nanos now) {
-  double work = 0;
-  bool known = true;
-  for (const auto& [id, op] : ops_) {
-    if (op.stage != Stage::on_core) continue;
-    work += static_cast<double>(core_time(op));
-    known = known && types_[op.type.raw].core_time.total() >= enough;
-  }
-  const double runs = std::max(1, on_core_);
-  const double usual = known ? stall_runs * work / (runs * runs) * std::max(1.0, few_runs / runs)
+  if (on_core_ == 0 || stalled_) return;
+  const bool known = std::none_of(ops_.begin(), ops_.end(), [this](const auto& entry) {
+    return entry.second.stage == Stage::on_core && types_[entry.second.type.raw].core_time.total() < enough;
+  });
+  const double runs = on_core_;
+  const double usual = known ? stall_runs * work_on_core() / (runs * runs) * std::max(1.0, few_runs / runs)
                              : static_cast<double>(types_.front().target_latency);
   const Nanos patience = static_cast<Nanos>(usual / warmth(now));
-  if (on_core_ > 0 && !stalled_ && now - progress_at_ > std::max(patience, gauge_span)) {
-    stalled_ = true;
-    for (auto& [id, op] : ops_) {
-      if (op.stage != Stage::on_core || op.answered) continue;
-      op.hung = true;
-      if (types_[op.type.raw].repeats == Repeats::retryable) send_on(op);
-    }
+  if (now - progress_at_ <= std::max(patience, gauge_span)) return;
+  stalled_ = true;
+  for (auto& [id, op] : ops_) {
+    if (op.stage != Stage::on_core || op.answered) continue;
+    op.hung = true;
+    if (types_[op.type.raw].repeats == Repeats::retryable) send_on(op);
   }
 }
 
@@ -244,6 +240,13 @@
   return static_cast<Nanos>(type.core_time.mean() * op.hint);
 }
 
+double Choice::work_on_core() const {
+  double work = 0;
+  for (const auto& [id, op] : ops_)
+    if (op.stage == Stage::on_core) work += static_cast<double>(core_time(op));
+  return work;
+}
+
 Nanos Choice::run_time(const Op& op, double sureness) const {
   const OpType& type = types_[op.type.raw];
   if (type.run_time.total() < enough) return core_time(op);
@@ -281,9 +284,7 @@
   double ahead =
       std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
   double line = 0;
-  double running = 0; // mean work of what is on the cores
-  for (const auto& [id, op] : ops_)
-    if (op.stage == Stage::on_core) running += static_cast<double>(core_time(op)) / on_core_;
+  const double running = ahead > 0 ? work_on_core() / on_core_ : 0; // mean work of what is on the cores
   const double chance = std::max(0.0, 1 - nacked_part_ / rare_nacks);
   const double wait_part = hold_part + (chance_part - hold_part) * chance;
   std::vector<Op*> out;
@@ -317,12 +318,15 @@
   for (const OpType& type : types_) work = std::max(work, type.core_time.mean());
   const bool brief =
       call_time_.total() >= enough && static_cast<double>(call_time_.quantile(slow_call)) < brief_call * work;
-  return brief ? calling_ : 0;
+  return brief ? static_cast<int>(calls_.count()) - static_cast<int>(lingering_.size()) : 0;
+}
+
+bool Choice::has_core(Nanos now) const {
+  const int cap = static_cast<int>(cap_);
+  return on_core_ < cap && on_core_ + returning() < cap && running_ < static_cast<int>(survivable(now));
 }
 
 bool Choice::may_start(Nanos now, const Op& op) const {
-  if (on_core_ + returning() >= static_cast<int>(cap_) || running_ >= static_cast<int>(survivable(now)))
-    return false;
   if (!op.paused && memory_with(op.held_kb * (run_factor_ - 1)) > memory_part * memory_limit_) return false;
   const OpType& type = types_[op.type.raw];
   return !type.may_call || type.without_share > 0 || breaker_lets(now);
@@ -337,7 +341,7 @@
     return;
   }
   plan(now);
-  for (std::size_t i = 0; i < held_.size();) {
+  for (std::size_t i = 0; i < held_.size() && has_core(now);) {
     Op& op = *held_[i];
     if (may_start(now, op)) {
       start(now, op);
@@ -410,7 +414,6 @@
 
 void Choice::after_run(Nanos now, Op& op, Outcome outcome, Nanos lag) {
   leave_core(now, op);
-  if (op.stage == Stage::calling) --calling_;
   if (op.stage == Stage::calling) lingering_.push_back(now + linger_); // its call is given up, not gone
   drop_from(at_call_, &op);
   --running_;
@@ -602,7 +605,6 @@
     if (!op->call_may_have_run && breaker_lets(now) && room && fits) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
-      ++calling_;
       calls_.change(now, 1);
       if (failures_in_row_ >= failures_to_open) trial_out_ = true;
       op->when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
@@ -635,7 +637,6 @@
 }
 
 void Choice::after_call(Nanos now, Op& op, Outcome outcome) {
-  --calling_;
   if (outcome == Outcome::timed_out)
     lingering_.push_back(now + linger_);
   else
@@ -675,6 +676,18 @@
   return squares > 0 ? std::max(1.0, sum * sum / squares) : callers_;
 }
 
+// Notes a caller's silence; of one not heard of lately, as if all that there are called in turn.
+void Choice::hear(Nanos now, CallerId id) {
+  ++read_;
+  const auto [at, unheard] = by_caller_.try_emplace(id);
+  Caller& caller = at->second;
+  const double turn = callers_ * static_cast<double>(now - born_) / read_;
+  silences_.note(unheard ? static_cast<Nanos>(std::min(turn, static_cast<double>(idle_)))
+                         : now - caller.last);
+  ++caller.ops;
+  caller.last = now;
+}
+
 // Guards against a table full of silent connections, where callers find no free slot while the cores stand
 // idle, and against paying for a new one with every op. Each caller's silences tell how many connections
 // would be open and how many be made anew with any idle time: the cheapest is taken. It may harm where a new
@@ -685,10 +698,15 @@
     return silences_.part_over(kept) * static_cast<double>(idle_ / connection_cost) +
            silences_.mean_up_to(kept);
   };
+  const double now_paid = cost(idle_told_);
   Nanos best = idle_told_;
-  for (int halvings = 0; halvings <= idle_halvings; ++halvings)
-    if (cost(idle_ >> halvings) < cost(best)) best = idle_ >> halvings;
-  if (cost(best) > (1 - idle_gain) * cost(idle_told_)) return;
+  double least = now_paid;
+  for (Nanos kept = idle_; kept >= idle_ >> idle_halvings; kept /= 2)
+    if (const double paid = cost(kept); paid < least) {
+      best = kept;
+      least = paid;
+    }
+  if (least > (1 - idle_gain) * now_paid) return;
   idle_told_ = best;
   server_.idle_close(best);
 }
@@ -764,14 +782,7 @@
   ++read_lately_;
   nacked_part_ -= nacked_part_ * part_step;
   again_part_ += ((again ? 1 : 0) - again_part_) * part_step;
-  // A caller not heard of lately: as if all that there are called in turn.
-  ++read_;
-  const double turn =
-      std::min(callers_ * static_cast<double>(now - born_) / read_, static_cast<double>(idle_));
-  const auto [from, unheard] = by_caller_.try_emplace(caller);
-  silences_.note(unheard ? static_cast<Nanos>(turn) : now - from->second.last);
-  ++from->second.ops;
-  from->second.last = now;
+  hear(now, caller);
   // Unread ops are seen by how long they have waited once read: a line no nack shows.
   if (waited > type.target_latency / unread_part) ++unread_lately_;
   if (tenant.raw < tenants_.size()) tenants_[tenant.raw].seen += (1 - rate_keep) * second / count_span;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -66,6 +66,7 @@
   void watch(Nanos now);
   // The hold.
   Nanos core_time(const Op& op) const;
+  double work_on_core() const;
   Nanos run_time(const Op& op, double sureness) const;
   Nanos win_by(const Op& op) const;
   bool winnable(const Op& op, Nanos start, double sureness) const;
@@ -73,6 +74,7 @@
   void plan(Nanos now);
   void settle(Nanos now);
   int returning() const;
+  bool has_core(Nanos now) const;
   bool may_start(Nanos now, const Op& op) const;
   void make_room(Nanos now);
   void start(Nanos now, Op& op);
@@ -99,6 +101,7 @@
   void leave_core(Nanos now, Op& op);
   void join_core(Nanos now, Op& op);
   // What callers are told, and how long their connections stay.
+  void hear(Nanos now, CallerId id);
   void steer_idle();
   double alike_callers() const;
   void tell(Nanos now);
@@ -123,7 +126,6 @@
   bool born_cold_ = false;
   int running_ = 0; // started and not ended, waiting at calls too
   int on_core_ = 0;
-  int calling_ = 0;
   Nanos held_since_ = 0;
   Nanos cut_at_ = 0;
   Nanos progress_at_ = 0; // when a run last ended or came to a call
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -85,15 +85,11 @@
 
   // Notes a span; the part of those noted lately that came within a 64th of it.
   float note(Nanos span) {
+    const auto near = [&](int i) { return count_[i] > 0 && std::abs(span_[i] - span) <= span / 64; };
     int at = 0;
-    for (int i = 0; i < kept; ++i) {
-      if (count_[i] > 0 && std::abs(span_[i] - span) <= span / 64) {
-        at = i;
-        break;
-      }
-      if (count_[i] < count_[at]) at = i;
-    }
-    if (count_[at] == 0 || std::abs(span_[at] - span) > span / 64) {
+    while (at < kept && !near(at)) ++at;
+    if (at == kept) { // takes the place of the one that came least
+      at = static_cast<int>(std::min_element(count_.begin(), count_.end()) - count_.begin());
       span_[at] = span;
       count_[at] = 0;
     }
