The real server: sockets, link, calls and reports round the module

The module gained what sockets need: the pace of reports, of the link and of idle connections, when the doors close in a drain, and when the machine came up. The settings are read by src/given.cpp for both programs, which now names a key of the wrong kind.

--- /dev/null
+++ b/node/configuration.hpp
@@ -0,0 +1,14 @@
+// Where the configuration is read, checked and given defaults.
+#pragma once
+
+#include "state.hpp"
+
+namespace cometshift {
+
+// What the module is given (src/given.hpp) and beside it: name, listen, vm, announce, records (texts),
+// seed_high, seed_low (32 bits each), stop_ns, sockets, memory_mb. Throws std::invalid_argument naming the
+// faulty key.
+Given read_configuration(const std::string& path);
+Given configuration_in(std::string_view json);
+
+} // namespace cometshift
--- /dev/null
+++ b/node/frames.cpp
@@ -0,0 +1,61 @@
+#include "frames.hpp"
+
+#include <charconv>
+#include <cmath>
+
+namespace cometshift::frames {
+
+namespace {
+
+void put_number(std::string& out, std::uint64_t value, int bytes) {
+  for (; bytes > 0; --bytes, value >>= 8) out += static_cast<char>(value & 0xff);
+}
+template <class N>
+void put_field(std::string& out, std::string_view name, N value) {
+  char digits[32];
+  const std::string_view text(
+      digits, static_cast<std::size_t>(std::to_chars(digits, digits + sizeof digits, value).ptr - digits));
+  put_number(out, name.size(), 1);
+  out += name;
+  put_number(out, text.size(), 2);
+  out += text;
+}
+template <class N>
+bool whole(std::string_view text, N& into) {
+  const char* last = text.data() + text.size();
+  const auto [end, wrong] = std::from_chars(text.data(), last, into);
+  return wrong == std::errc() && end == last;
+}
+
+} // namespace
+
+void put_answer(std::string& out, Type type, std::uint32_t stream, Code code, double feedback,
+                std::int64_t later_ms, bool give_up, std::size_t body_size) {
+  const std::size_t start = out.size();
+  put_number(out, 0, 4);
+  put_number(out, type, 1);
+  put_number(out, stream, 4);
+  put_number(out, code, 1);
+  put_number(out, (feedback >= 0 ? 1u : 0u) + (later_ms > 0 ? 1u : 0u) + (give_up ? 1u : 0u), 1);
+  if (feedback >= 0) put_field(out, "feedback", feedback);
+  if (later_ms > 0) put_field(out, "later", later_ms);
+  if (give_up) put_field(out, "giveup", 1);
+  std::size_t length = out.size() - start - 4 + body_size;
+  for (std::size_t i = 0; i < 4; ++i, length >>= 8) out[start + i] = static_cast<char>(length & 0xff);
+}
+
+void put_no_more(std::string& out) {
+  put_number(out, least_length, 4);
+  put_number(out, no_more, 1);
+  put_number(out, 0, 4);
+}
+
+bool read_hex(std::string_view text, std::uint64_t& into) {
+  const char* last = text.data() + text.size();
+  const auto [end, wrong] = std::from_chars(text.data(), last, into, 16);
+  return text.size() == 16 && wrong == std::errc() && end == last;
+}
+bool read_whole(std::string_view text, std::int64_t& into) { return whole(text, into); }
+bool read_number(std::string_view text, double& into) { return whole(text, into) && std::isfinite(into); }
+
+} // namespace cometshift::frames
--- /dev/null
+++ b/node/frames.hpp
@@ -0,0 +1,64 @@
+// The frames that balancers and servers exchange: bytes to fields and back, no I/O. Nothing is copied on
+// reading.
+//
+//   frame  = length:4 type:1 stream:4 payload      length counts all that follows it; little-endian
+//   fields = count:1, then for each: size:1 name size:2 value
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cometshift::frames {
+
+enum Type : std::uint8_t { ask = 10, answer = 11, check = 20, checked = 21, no_more = 30 };
+enum Code : std::uint8_t { good = 0, bad = 1, failed = 2, refused = 14 };
+
+constexpr std::size_t head_size = 9; // of a frame, its length included
+constexpr std::uint32_t least_length = 5;
+constexpr std::uint32_t most_length = 262'144;
+
+inline std::uint32_t number_at(const char* at, int bytes) {
+  std::uint32_t value = 0;
+  for (int i = bytes; i-- > 0;) value = value << 8 | static_cast<unsigned char>(at[i]);
+  return value;
+}
+inline bool possible(std::uint32_t length) { return length >= least_length && length <= most_length; }
+
+// Hands each field to `each(name, value)`; what follows the fields is left in `rest`. False if they overrun
+// the payload.
+template <class Each>
+bool fields(std::string_view payload, Each each, std::string_view& rest) {
+  if (payload.empty()) return false;
+  unsigned count = static_cast<unsigned char>(payload.front());
+  payload.remove_prefix(1);
+  const auto cut = [&payload](int size_bytes, std::string_view& out) {
+    if (payload.size() < static_cast<std::size_t>(size_bytes)) return false;
+    const std::size_t size = number_at(payload.data(), size_bytes);
+    payload.remove_prefix(static_cast<std::size_t>(size_bytes));
+    if (payload.size() < size) return false;
+    out = payload.substr(0, size);
+    payload.remove_prefix(size);
+    return true;
+  };
+  for (; count > 0; --count) {
+    std::string_view name, value;
+    if (!cut(1, name) || !cut(2, value)) return false;
+    each(name, value);
+  }
+  rest = payload;
+  return true;
+}
+
+// What an answer may say beside its code; nothing is said by what is negative or false.
+void put_answer(std::string& out, Type type, std::uint32_t stream, Code code, double feedback,
+                std::int64_t later_ms, bool give_up, std::size_t body_size);
+void put_no_more(std::string& out);
+
+// Whole texts only: hex digits, whole decimal numbers, and numbers with a fraction.
+bool read_hex(std::string_view text, std::uint64_t& into);
+bool read_whole(std::string_view text, std::int64_t& into);
+bool read_number(std::string_view text, double& into);
+
+} // namespace cometshift::frames
--- /dev/null
+++ b/node/front.cpp
@@ -0,0 +1,397 @@
+#include "front.hpp"
+
+#include "address.hpp"
+#include "frames.hpp"
+#include "log.hpp"
+
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <span>
+
+namespace cometshift {
+
+namespace {
+
+constexpr std::size_t kept_bytes = 16 * 1024; // of a connection's input: the largest request fits twice
+constexpr std::size_t most_body = 2 * 1024;   // of a request
+constexpr std::size_t most_open = 32;         // requests on a connection
+constexpr std::size_t most_text = 64;         // of a mark or a subject
+constexpr std::size_t most_used = 1024;       // streams remembered above those that are all used
+constexpr std::size_t most_pending =
+    256 * 1024;                         // bytes for a connection: 32 results fit; then its input waits
+constexpr std::size_t gathered = 32;    // pieces in one write
+constexpr std::size_t piece = 4 * 1024; // smaller ones are put together
+constexpr int reads_a_turn = 4;         // of one connection: the others get their turn
+constexpr auto accept_rest = std::chrono::milliseconds(20); // after a failed accept, as without descriptors
+constexpr Nanos ms = 1'000'000;
+constexpr std::int64_t latest_time = std::int64_t{1} << 42; // ms: keeps times in whole nanoseconds
+
+} // namespace
+
+Front::Front(asio::io_context& io, const std::string& listen, std::size_t most_connections,
+             std::size_t most_waiting, Names names, Taker& taker)
+    : io_(io), acceptor_(io, endpoint_of(listen)), retry_(io), most_connections_(most_connections),
+      most_waiting_(most_waiting), names_(std::move(names)), taker_(taker) {
+  acceptor_.non_blocking(true);
+  accept();
+}
+
+// ---- connections come and go
+
+void Front::accept() {
+  if (accepting_ || doors_closed_ || connections_.size() >= most_connections_) return;
+  accepting_ = true;
+  acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
+    accepting_ = false;
+    if (doors_closed_) return;
+    while (!error && connections_.size() < most_connections_) {
+      asio::ip::tcp::socket socket(io_);
+      acceptor_.accept(socket, error);
+      if (error) break;
+      asio::error_code ignored;
+      socket.non_blocking(true, ignored);
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      const std::uint64_t id = next_++;
+      Connection& c =
+          *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
+      c.last = now_;
+      readable(c);
+    }
+    if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
+      return accept();
+    // Against spinning where no descriptor is free: what waits is accepted when one is.
+    note("accept", "%s", error.message().c_str());
+    retry_.expires_after(accept_rest);
+    retry_.async_wait([this](asio::error_code stopped) {
+      if (!stopped) accept();
+    });
+  });
+}
+
+// The one place where a connection is given back.
+void Front::drop(Connection& c, const char* why) {
+  if (why) note("connection", "closed: %s", why);
+  const std::set<std::uint32_t> open = std::move(c.open);
+  const std::uint64_t id = c.id;
+  waiting_ -= c.waiting;
+  connections_.erase(id);
+  for (const std::uint32_t stream : open) taker_.line_lost({id, stream});
+  accept();
+}
+
+bool Front::over(const Connection& c) const {
+  if (!c.open.empty() || c.waiting > 0) return false;
+  return c.peer_ended || (c.told_at >= 0 && now_ - c.told_at >= leave_to_end_);
+}
+
+void Front::sweep() {
+  std::vector<std::uint64_t> ended;
+  for (auto& [id, c] : connections_) {
+    if (idle_ > 0 && c->open.empty() && now_ - c->last >= idle_) tell_no_more(*c);
+    if (over(*c)) ended.push_back(id);
+  }
+  for (const std::uint64_t id : ended) drop(*connections_.at(id), nullptr);
+}
+
+void Front::tell_no_more(Connection& c) {
+  if (c.told_at >= 0) return;
+  c.told_at = now_;
+  say(c, [](std::string& out) { frames::put_no_more(out); });
+}
+
+void Front::idle_close(Nanos after) { idle_ = after; }
+
+void Front::close_doors() {
+  doors_closed_ = true;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  for (auto& [id, c] : connections_) tell_no_more(*c);
+}
+
+// ---- bytes in
+
+void Front::await_bytes(Connection& c) {
+  if (c.reading || c.peer_ended || c.waiting > most_pending) return;
+  c.reading = true;
+  c.socket.async_wait(asio::socket_base::wait_read, [this, id = c.id](asio::error_code error) {
+    const auto at = connections_.find(id);
+    if (at == connections_.end()) return;
+    at->second->reading = false;
+    if (error) return drop(*at->second, error.message().c_str());
+    readable(*at->second);
+  });
+}
+
+void Front::readable(Connection& c) {
+  if (!c.in) c.in = std::make_unique<char[]>(kept_bytes);
+  for (int turn = 0; turn < reads_a_turn; ++turn) {
+    asio::error_code error;
+    const std::size_t room = kept_bytes - c.filled;
+    const std::size_t n = c.socket.read_some(asio::buffer(c.in.get() + c.filled, room), error);
+    if (error == asio::error::would_block) break;
+    if (error == asio::error::eof) {
+      c.peer_ended = true;
+      if (c.open.empty() && c.waiting == 0) return drop(c, nullptr);
+      break;
+    }
+    if (error) return drop(c, error == asio::error::connection_reset ? nullptr : error.message().c_str());
+    c.last = now_;
+    c.filled += n;
+    parse(c);
+    if (n < room) break;
+  }
+  await_bytes(c);
+}
+
+void Front::parse(Connection& c) {
+  std::size_t from = 0;
+  while (from < c.filled) {
+    const std::size_t left = c.filled - from;
+    if (c.deaf) {
+      from = c.filled;
+      break;
+    }
+    if (c.skip > 0) {
+      const std::size_t some = std::min(c.skip, left);
+      c.skip -= some;
+      from += some;
+      continue;
+    }
+    if (left < 4) break;
+    const std::uint32_t length = frames::number_at(c.in.get() + from, 4);
+    if (!frames::possible(length)) {
+      unreadable(c, "a length out of range");
+      continue;
+    }
+    const std::size_t size = length + 4;
+    const bool whole = size <= kept_bytes / 2; // what is larger is not kept: only its head counts
+    if (left < (whole ? size : frames::head_size)) break;
+    const char* at = c.in.get() + from;
+    const std::string_view payload(at + frames::head_size, whole ? size - frames::head_size : 0);
+    if (!frame(c, static_cast<std::uint8_t>(at[4]), frames::number_at(at + 5, 4), payload, whole)) continue;
+    from += whole ? size : frames::head_size;
+    if (!whole) c.skip = size - frames::head_size;
+  }
+  std::copy(c.in.get() + from, c.in.get() + c.filled, c.in.get());
+  c.filled -= from;
+}
+
+// Against reading on where frames can't be told from each other any more: the peer is told, what is open is
+// settled, and then the connection ends. Others notice nothing.
+void Front::unreadable(Connection& c, const char* why) {
+  note("frame", "connection %llu: %s", static_cast<unsigned long long>(c.id), why);
+  c.deaf = true;
+  say(c,
+      [](std::string& out) { frames::put_answer(out, frames::answer, 0, frames::failed, -1, 0, false, 0); });
+  tell_no_more(c);
+}
+
+bool Front::use_stream(Connection& c, std::uint32_t stream) {
+  if (stream <= c.used_to || !c.used.insert(stream).second) return false;
+  // Against a peer that leaves gaps for ever: its oldest gaps count as used.
+  if (c.used.size() > most_used) c.used_to = *c.used.begin();
+  while (!c.used.empty() && *c.used.begin() <= c.used_to + 1) {
+    c.used_to = std::max(c.used_to, *c.used.begin());
+    c.used.erase(c.used.begin());
+  }
+  return true;
+}
+
+bool Front::frame(Connection& c, std::uint8_t type, std::uint32_t stream, std::string_view payload,
+                  bool whole) {
+  std::string_view rest;
+  const bool readable = !whole || frames::fields(
+                                      payload, [](auto, auto) {}, rest);
+  if (!readable) {
+    unreadable(c, "fields that overrun it");
+    return false;
+  }
+  if (type == frames::check) {
+    say(c, [&](std::string& out) {
+      frames::put_answer(out, frames::checked, stream, good_ ? frames::good : frames::bad, feedback_, 0,
+                         false, 0);
+    });
+    return true;
+  }
+  if (type != frames::ask) {
+    unreadable(c, "an unknown type");
+    return false;
+  }
+  if (!use_stream(c, stream)) {
+    unreadable(c, "a stream used twice");
+    return false;
+  }
+  ask(c, stream, payload, whole);
+  return true;
+}
+
+void Front::ask(Connection& c, std::uint32_t stream, std::string_view payload, bool whole) {
+  if (!whole) return refuse(c, stream, "too large");
+  if (c.open.size() >= most_open) return refuse(c, stream, "too many open on its connection");
+  static constexpr std::array<std::string_view, 10> known{"verb",  "txn", "door",     "lb",     "team",
+                                                          "limit", "ram", "standing", "unique", "item"};
+  std::array<std::string_view, known.size()> value;
+  std::array<bool, known.size()> there{};
+  bool twice = false;
+  std::string_view body;
+  frames::fields(
+      payload,
+      [&](std::string_view name, std::string_view text) {
+        const auto at = static_cast<std::size_t>(std::find(known.begin(), known.end(), name) - known.begin());
+        if (at == known.size()) return;
+        twice = twice || there[at];
+        there[at] = true;
+        value[at] = text;
+      },
+      body);
+  const auto& [verb, txn, door, lb, team, limit, ram, standing, unique, item] = value;
+  if (twice) return refuse(c, stream, "a field twice");
+  if (body.size() > most_body) return refuse(c, stream, "a body too large");
+  const auto type = std::find(names_.op_types.begin(), names_.op_types.end(), verb);
+  if (type == names_.op_types.end()) return refuse(c, stream, "verb: unknown op type");
+  const auto type_at = static_cast<std::size_t>(type - names_.op_types.begin());
+  const auto tenant = std::find(names_.tenants.begin(), names_.tenants.end(), team);
+  if (!names_.tenants.empty() && tenant == names_.tenants.end())
+    return refuse(c, stream, "team: unknown tenant");
+  std::uint64_t id = 0;
+  std::int64_t door_ms = 0, limit_ms = 0, caller = 0;
+  double kb = 0, rank = 0;
+  if (!frames::read_hex(txn, id) || id == no_op.raw) return refuse(c, stream, "txn");
+  if (!frames::read_whole(door, door_ms) || door_ms < 0 || door_ms > latest_time)
+    return refuse(c, stream, "door");
+  if (!frames::read_whole(lb, caller) || caller < 0) return refuse(c, stream, "lb");
+  if (there[5] ? !frames::read_whole(limit, limit_ms) || limit_ms <= 0 || limit_ms > latest_time
+               : names_.tells_patience)
+    return refuse(c, stream, "limit");
+  if (!frames::read_number(ram, kb) || kb <= 0 || kb >= 2000) return refuse(c, stream, "ram");
+  if (!frames::read_number(standing, rank) || rank < 0 || rank >= 1) return refuse(c, stream, "standing");
+  if (names_.marked[type_at] && (unique.empty() || unique.size() > most_text))
+    return refuse(c, stream, "unique");
+  if (item.size() > most_text) return refuse(c, stream, "item");
+  c.open.insert(stream);
+  taker_.op_came(
+      {c.id, stream}, OpId{id}, OpTypeId{static_cast<std::uint32_t>(type_at)},
+      TenantId{names_.tenants.empty() ? 0 : static_cast<std::uint32_t>(tenant - names_.tenants.begin())},
+      CallerId{static_cast<std::uint64_t>(caller)}, door_ms * ms, limit_ms * ms, kb, rank, unique, item,
+      body);
+}
+
+// ---- bytes out
+
+// Hands the piece that heads are written to to `put`, and counts what it adds.
+template <class Put>
+void Front::say(Connection& c, Put put) {
+  if (c.out.empty() || c.out.back().size() > piece) c.out.emplace_back();
+  const std::size_t before = c.out.back().size();
+  put(c.out.back());
+  c.waiting += c.out.back().size() - before;
+  waiting_ += c.out.back().size() - before;
+  mark(c);
+}
+
+void Front::mark(Connection& c) {
+  if (c.dirty) return;
+  c.dirty = true;
+  dirty_.push_back(c.id);
+}
+
+// Against ops that can be read but not be understood: one answer, and the module hears nothing of them.
+void Front::refuse(Connection& c, std::uint32_t stream, const char* why) {
+  note("request", "refused, %s", why);
+  c.open.insert(stream);
+  refused({c.id, stream}, 0, true);
+}
+
+// The connection of a line that is to be answered now; null if it is gone.
+Front::Connection* Front::settle(Line line) {
+  const auto at = connections_.find(line.connection);
+  if (at == connections_.end() || at->second->open.erase(line.stream) == 0) return nullptr;
+  at->second->last = now_;
+  return at->second.get();
+}
+
+void Front::served(Line line, std::string result) {
+  Connection* c = settle(line);
+  if (!c) return;
+  say(*c, [&](std::string& out) {
+    frames::put_answer(out, frames::answer, line.stream, frames::good, feedback_, 0, false, result.size());
+  });
+  c->waiting += result.size();
+  waiting_ += result.size();
+  c->out.push_back(std::move(result));
+}
+
+void Front::refused(Line line, Nanos stay_away, bool no_retry) {
+  if (Connection* c = settle(line))
+    say(*c, [&](std::string& out) {
+      frames::put_answer(out, frames::answer, line.stream, frames::refused, feedback_, stay_away / ms,
+                         no_retry, 0);
+    });
+}
+
+void Front::failed(Line line) {
+  if (Connection* c = settle(line))
+    say(*c, [&](std::string& out) {
+      frames::put_answer(out, frames::answer, line.stream, frames::failed, feedback_, 0, false, 0);
+    });
+}
+
+void Front::write(Connection& c) {
+  while (c.waiting > 0 && !c.writing) {
+    std::array<asio::const_buffer, gathered> pieces;
+    std::size_t count = 0;
+    for (const std::string& part : c.out) {
+      if (count == gathered) break;
+      const std::size_t done = count == 0 ? c.written : 0;
+      pieces[count++] = asio::buffer(part.data() + done, part.size() - done);
+    }
+    asio::error_code error;
+    std::size_t n = c.socket.write_some(std::span(pieces.data(), count), error);
+    if (error == asio::error::would_block) {
+      c.writing = true;
+      c.socket.async_wait(asio::socket_base::wait_write, [this, id = c.id](asio::error_code stopped) {
+        const auto at = connections_.find(id);
+        if (at == connections_.end()) return;
+        at->second->writing = false;
+        if (stopped) return drop(*at->second, stopped.message().c_str());
+        mark(*at->second);
+      });
+      return;
+    }
+    if (error) return drop(c, nullptr);
+    c.waiting -= n;
+    waiting_ -= n;
+    for (n += c.written; !c.out.empty() && n >= c.out.front().size();) {
+      n -= c.out.front().size();
+      c.out.pop_front();
+    }
+    c.written = n;
+  }
+  if (over(c)) return drop(c, nullptr);
+  await_bytes(c);
+}
+
+void Front::flush(Nanos now) {
+  now_ = now;
+  if (now_ - swept_at_ >= leave_to_end_ / 8) {
+    swept_at_ = now_;
+    sweep();
+  }
+  for (std::size_t i = 0; i < dirty_.size(); ++i) { // grows where a lost line frees others
+    const auto at = connections_.find(dirty_[i]);
+    if (at == connections_.end()) continue;
+    at->second->dirty = false;
+    write(*at->second);
+  }
+  dirty_.clear();
+  while (waiting_ > most_waiting_) { // against peers that never read
+    const auto most =
+        std::max_element(connections_.begin(), connections_.end(),
+                         [](const auto& a, const auto& b) { return a.second->waiting < b.second->waiting; });
+    drop(*most->second, "it does not read what it is sent");
+  }
+}
+
+} // namespace cometshift
--- /dev/null
+++ b/node/front.hpp
@@ -0,0 +1,127 @@
+// The listener and the balancers' connections. Owns both, every byte not yet read or written, and which
+// streams are open; it is a seam: another protocol would stand here and hand over the same ops.
+#pragma once
+
+#include "ids.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cometshift {
+
+// Where an op's answer goes.
+struct Line {
+  std::uint64_t connection = 0;
+  std::uint32_t stream = 0;
+};
+
+class Front {
+ public:
+  // What comes in. `door` and `limit` are Unix time and a span; limit 0, empty texts: not told. The views
+  // hold until the call returns.
+  class Taker {
+   public:
+    virtual ~Taker() = default;
+    virtual void op_came(Line line, OpId id, OpTypeId type, TenantId tenant, CallerId caller, Nanos door,
+                         Nanos limit, double held_kb, double rank, std::string_view mark,
+                         std::string_view subject, std::string_view body) = 0;
+    virtual void line_lost(Line line) = 0; // its answer can't be delivered any more
+  };
+  struct Names { // by their ids; which op types carry a mark, and whether patience is told
+    std::vector<std::string> op_types;
+    std::vector<bool> marked;
+    std::vector<std::string> tenants;
+    bool tells_patience = false;
+  };
+
+  Front(asio::io_context& io, const std::string& listen, std::size_t most_connections,
+        std::size_t most_waiting, Names names, Taker& taker);
+
+  // The final answers; each line takes one.
+  void served(Line line, std::string result);
+  void refused(Line line, Nanos stay_away, bool no_retry);
+  void failed(Line line);
+
+  void health(bool good) { good_ = good; }
+  void feedback(double value) { feedback_ = value; }
+  void idle_close(Nanos after);
+  void leave_to_end(Nanos time) { leave_to_end_ = time; }
+  void close_doors();
+  bool closed() const { return doors_closed_ && connections_.empty(); }
+  void flush(Nanos now); // one gathered write for each connection with something to say
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    Connection(asio::ip::tcp::socket s, std::uint64_t i) : socket(std::move(s)), id(i) {}
+    asio::ip::tcp::socket socket;
+    std::uint64_t id;
+    std::unique_ptr<char[]> in;
+    std::size_t filled = 0;
+    std::size_t skip = 0; // bytes to come of a frame that is too large to keep
+    std::deque<std::string> out;
+    std::size_t written = 0; // of the first of them
+    std::size_t waiting = 0; // bytes to write
+    std::set<std::uint32_t> open;
+    std::uint32_t used_to = 0;    // all streams to it have been used
+    std::set<std::uint32_t> used; // those above it
+    Nanos last = 0;
+    Nanos told_at = -1;      // that it takes no new op; -1: not told
+    bool reading = false;    // a wait for bytes is out
+    bool writing = false;    // a wait for room is out
+    bool deaf = false;       // what comes is not read as frames any more
+    bool peer_ended = false; // it sends no more
+    bool dirty = false;
+  };
+
+  void accept();
+  void await_bytes(Connection& c);
+  void readable(Connection& c);
+  void parse(Connection& c);
+  bool frame(Connection& c, std::uint8_t type, std::uint32_t stream, std::string_view payload, bool whole);
+  void ask(Connection& c, std::uint32_t stream, std::string_view payload, bool whole);
+  bool use_stream(Connection& c, std::uint32_t stream);
+  void unreadable(Connection& c, const char* why);
+  template <class Put>
+  void say(Connection& c, Put put);
+  void mark(Connection& c);
+  Connection* settle(Line line);
+  void tell_no_more(Connection& c);
+  void write(Connection& c);
+  void drop(Connection& c, const char* why);
+  void sweep();
+  void refuse(Connection& c, std::uint32_t stream, const char* why);
+  bool over(const Connection& c) const;
+
+  asio::io_context& io_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
+  std::size_t most_connections_;
+  std::size_t most_waiting_;
+  Names names_;
+  Taker& taker_;
+  std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::vector<std::uint64_t> dirty_;
+  std::uint64_t next_ = 1;
+  std::size_t waiting_ = 0; // bytes to write, in all
+  Nanos now_ = 0;
+  Nanos swept_at_ = 0;
+  Nanos idle_ = 0; // 0: connections may stay silent
+  Nanos leave_to_end_ = 0;
+  double feedback_ = -1;
+  bool good_ = true;
+  bool accepting_ = false;
+  bool doors_closed_ = false;
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/node/host.hpp
@@ -0,0 +1,151 @@
+// The real server: one module behind sockets. Owns the ops that came, the results kept for repeats, the
+// timers and the loop; decides nothing.
+#pragma once
+
+#include "announce.hpp"
+#include "choice.hpp"
+#include "front.hpp"
+#include "interpreter.hpp"
+#include "records.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+
+namespace cometshift {
+
+class Host final : Server, Front::Taker, Interpreter::Taker, Records::Taker {
+ public:
+  // As read by configuration.hpp.
+  explicit Host(const Given& given);
+  void serve(); // returns once a drain is over
+  void stop();  // drain now, as at the signal
+
+ private:
+  // What is remembered under a key: which try holds it, which ran, and what came of that.
+  struct Kept {
+    OpId holder;
+    OpId ran = no_op;
+    Nanos until = 0;    // of arrival of repeats
+    Nanos ended_at = 0; // of the run
+    enum class State { held, running, done, failed } state = State::held;
+    std::string result;
+    std::vector<OpId> waiting; // ops to be answered with the result
+  };
+  struct Op {
+    Line line;
+    OpTypeId type;
+    std::string body;
+    std::string key; // empty: none
+    Nanos door = 0;
+    OpId earlier;
+    bool answered = false;
+    bool reusing = false;
+    enum class Run { none, wanted, sent, over } run = Run::none;
+    std::uint64_t run_known = 0; // an answer to this question proves that the start was read
+    bool heard = false;          // the run has been heard of
+    bool at_call = false;
+    std::string call;                 // what the run wants to ask below
+    std::optional<std::string> reply; // to its call, kept while the link is down
+    Nanos called_at = 0;
+    Nanos answered_at = 0;
+  };
+  using Ops = std::unordered_map<std::uint64_t, Op>;
+
+  // The module's orders.
+  void run(OpId op) override;
+  void nack(OpId op, bool no_retry, Nanos stay_away) override;
+  void fail(OpId op) override;
+  void call(OpId op, Nanos time_out) override;
+  void answer_without(OpId op) override;
+  void keep_key(OpId op, Nanos lifetime) override;
+  void forget_key(OpId op) override;
+  void reuse(OpId op) override;
+  void halt(OpId op) override;
+  void health(bool good, bool from_store) override;
+  void tell_callers(double value) override;
+  void idle_close(Nanos after) override;
+  void wake_at(Nanos at, WakeId name) override;
+  void log(std::string_view words) override;
+  void pace(Pace what, Nanos time) override;
+  void close_doors() override;
+
+  // What the sockets bring.
+  void op_came(Line line, OpId id, OpTypeId type, TenantId tenant, CallerId caller, Nanos door, Nanos limit,
+               double held_kb, double rank, std::string_view mark, std::string_view subject,
+               std::string_view body) override;
+  void line_lost(Line line) override;
+  void machine_up(Nanos since) override;
+  void caught_up(std::uint64_t heard) override;
+  void run_over(OpId id, Outcome outcome, Nanos lag, std::string result) override;
+  void call_wanted(OpId id, std::string body) override;
+  void gauges(std::span<const double> values) override;
+  void not_carried_out(OpId id, std::string_view command) override;
+  void call_over(OpId id, Outcome outcome, std::string reply) override;
+
+  Nanos now();
+  void turn();
+  void arm();
+  void due();
+  bool over() const;
+  void send_run(OpId id, Op& op);
+  Op* open(OpId id); // null if it is answered already
+  void answered(OpId id, Op& op);
+  void release(OpId id);  // forgets an op of which nothing is left to do
+  Kept* held_by(OpId id); // the entry that this op holds
+  OpId earlier_of(const std::string& key, bool keyed, Nanos door);
+  void settle(Kept& entry, Kept::State state, std::string result);
+  void drop_result(Kept& entry);
+  void finish_reused();
+  void forget_old();
+  void resend_strays();
+
+  asio::io_context io_;
+  asio::signal_set signals_;
+  asio::steady_timer timer_;
+  Given given_;
+  std::vector<std::string> op_types_;
+  std::vector<Repeats> repeats_;
+  std::vector<Nanos> op_timeouts_;
+  Nanos fresh_for_;
+  Nanos longest_ = 0; // op timeout
+  Nanos until_kill_;
+
+  Ops ops_;
+  std::map<std::uint64_t, std::map<std::uint32_t, OpId>> lines_; // of the ops not answered, by connection
+  std::unordered_map<std::string, Kept> keys_;
+  std::multimap<Nanos, std::string> key_ends_; // when to look whether an entry is over
+  std::size_t result_bytes_ = 0;
+  std::size_t most_results_;
+  std::size_t most_ops_;
+  std::vector<OpId> reused_; // to be answered after the module has returned
+  std::vector<OpId> strays_; // starts that may be lost, of ops that must not run twice
+
+  using Wake = std::pair<Nanos, std::uint64_t>;
+  std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
+  Nanos armed_ = 0;
+  std::vector<double> gauges_;
+  Nanos asked_at_ = 0;
+  Nanos asked_for_ = 0; // the wake-up that the gauges were asked for
+  Nanos round_trip_ = 0;
+  Nanos now_ = 0;
+  Nanos shift_ = 0; // of our clock against the system's, which may be set back
+  bool now_known_ = false;
+  bool up_before_ = false;
+  bool draining_ = false;
+  bool doors_closed_ = false;
+
+  Front front_;
+  Interpreter interpreter_;
+  Records records_;
+  Announce announce_;
+  std::unique_ptr<Choice> choice_;
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/node/records.cpp
@@ -0,0 +1,156 @@
+#include "records.hpp"
+
+#include "address.hpp"
+#include "log.hpp"
+
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace cometshift {
+
+namespace {
+constexpr std::size_t most_reply = 64 * 1024;
+constexpr const char* not_begun = "Op-Not-Begun";
+} // namespace
+
+Records::Records(asio::io_context& io, const std::string& address, std::size_t most_connections, Taker& taker)
+    : io_(io), address_(endpoint_of(address)), most_connections_(most_connections), taker_(taker) {}
+
+// A handler that does nothing once its connection, or its call, is over.
+template <class Step>
+auto Records::still(const Connection& c, Step step) {
+  return [this, step, id = c.id, turn = c.turn](asio::error_code error, std::size_t n = 0) {
+    const auto at = connections_.find(id);
+    if (at != connections_.end() && at->second->turn == turn) step(*at->second, error, n);
+  };
+}
+
+void Records::call(OpId id, Nanos time_out, const std::string& body) {
+  give_up(id);
+  const bool fresh = idle_ones_.empty();
+  if (fresh && connections_.size() >= most_connections_) {
+    // Against using up the descriptors: this call never leaves.
+    asio::post(io_, [this, id] { taker_.call_over(id, Outcome::unreachable, {}); });
+    return;
+  }
+  if (fresh) {
+    connections_.emplace(next_, std::make_unique<Connection>(io_, next_));
+    idle_ones_.push_back(next_++);
+  }
+  Connection& c = *connections_.at(idle_ones_.back());
+  idle_ones_.pop_back();
+  ++c.turn;
+  c.op = id;
+  calls_[id] = c.id;
+  c.reply = HttpReply(not_begun, most_reply);
+  c.body = body;
+  char head[256];
+  const long long wait_ms = std::max<long long>(1, (time_out + 999'999) / 1'000'000);
+  std::snprintf(head, sizeof head,
+                "POST /records/op HTTP/1.1\r\nHost: records\r\nOp-Of: %016llx\r\nOp-Wait-Ms: %lld\r\n"
+                "Content-Length: %zu\r\n\r\n",
+                static_cast<unsigned long long>(id.raw), wait_ms, body.size());
+  c.head = head;
+  c.timer.expires_after(std::chrono::nanoseconds(time_out));
+  c.timer.async_wait(still(c, [this](Connection& late, asio::error_code stopped, std::size_t) {
+    if (!stopped) over(late, Outcome::timed_out, false);
+  }));
+  if (!fresh) return write(c);
+  c.socket.async_connect(address_, still(c, [this](Connection& made, asio::error_code error, std::size_t) {
+                           // Only a refused connection proves that nothing ran; another that can't be made
+                           // has carried no byte of the call either.
+                           if (error) return over(made, Outcome::unreachable, false);
+                           asio::error_code ignored;
+                           made.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                           write(made);
+                         }));
+}
+
+void Records::write(Connection& c) {
+  const std::array<asio::const_buffer, 2> whole{asio::buffer(c.head), asio::buffer(c.body)};
+  asio::async_write(c.socket, whole, still(c, [this](Connection& to, asio::error_code error, std::size_t) {
+                      if (error) over(to, Outcome::cut, false);
+                    }));
+  read(c);
+}
+
+void Records::read(Connection& c) {
+  c.socket.async_read_some(asio::buffer(c.in),
+                           still(c, [this](Connection& from, asio::error_code error, std::size_t n) {
+                             if (error)
+                               return over(from, Outcome::cut, false); // how far the call got can't be told
+                             switch (from.reply.feed({from.in.data(), n})) {
+                             case HttpReply::State::reading:
+                               return read(from);
+                             case HttpReply::State::unreadable:
+                               note("records", "a reply that can't be read");
+                               return over(from, Outcome::cut, false);
+                             case HttpReply::State::whole:
+                               return over(from, outcome_of(from.reply), from.reply.keeps_open());
+                             }
+                           }));
+}
+
+Outcome Records::outcome_of(const HttpReply& reply) const {
+  const bool not_run = reply.header() == "1";
+  switch (reply.status()) {
+  case 200:
+    return Outcome::done;
+  case 503:
+    return not_run ? Outcome::shed : Outcome::failed;
+  case 409:
+    return not_run ? Outcome::moot : Outcome::failed;
+  case 504:
+    return Outcome::timed_out;
+  default:
+    return Outcome::failed;
+  }
+}
+
+// The one place where a call ends, and where its connection is kept for another or given back.
+void Records::over(Connection& c, Outcome outcome, bool keep) {
+  const OpId op = c.op;
+  std::string reply = outcome == Outcome::done ? std::move(c.reply.body()) : std::string();
+  ++c.turn;
+  c.op = no_op;
+  c.timer.cancel();
+  if (op != no_op) calls_.erase(op);
+  if (keep) {
+    c.idle_since = now_;
+    idle_ones_.push_back(c.id);
+    // Nothing is to come while it is idle, but its end. Only waits: what comes later belongs to the next
+    // call.
+    c.socket.async_wait(asio::socket_base::wait_read,
+                        still(c, [this](Connection& idle, asio::error_code, std::size_t) {
+                          over(idle, Outcome::cut, false);
+                        }));
+  } else {
+    idle_ones_.erase(std::remove(idle_ones_.begin(), idle_ones_.end(), c.id), idle_ones_.end());
+    connections_.erase(c.id);
+  }
+  if (op != no_op) taker_.call_over(op, outcome, std::move(reply));
+}
+
+void Records::give_up(OpId id) {
+  const auto at = calls_.find(id);
+  if (at == calls_.end()) return;
+  Connection& c = *connections_.at(at->second);
+  c.op = no_op;
+  calls_.erase(at);
+  over(c, Outcome::cut, false);
+}
+
+void Records::sweep(Nanos now) {
+  now_ = now;
+  // The longest idle stand first, as the last one is taken first.
+  while (!idle_ones_.empty() && idle_ > 0) {
+    Connection& c = *connections_.at(idle_ones_.front());
+    if (now - c.idle_since < idle_) return;
+    over(c, Outcome::cut, false);
+  }
+}
+
+} // namespace cometshift
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -2,6 +2,7 @@
 // input and output. It only carries: every decoded field goes straight into a call, every action into a line.
 // Names of the wire end here. A defect in the input ends the process with one line on standard error.
 #include "choice.hpp"
+#include "given.hpp"
 
 #include <simdjson.h>
 
@@ -166,121 +167,6 @@
   bad("unknown outcome", status);
 }
 
-// The wire's words for the values that the module reads as texts, in ours.
-std::string our_word(std::string_view word) {
-  if (word == "idempotency_key") return "keyed";
-  if (word == "non_idempotent") return "non_retryable";
-  if (word == "read_like") return "retryable";
-  if (word == "min_rank") return "level";
-  if (word == "request") return "op";
-  if (word == "cpu_busy") return "cores_busy";
-  if (word == "runnable") return "on_cores";
-  if (word == "mem_used") return "memory_used";
-  if (word == "sockets") return "connections";
-  return std::string(word);
-}
-
-// Copies one value of the settings under its name of ours; what is absent stays out.
-void put(Given& given, const element& at, const std::string& ours) {
-  if (bool flag; at.get(flag) == simdjson::SUCCESS)
-    given[ours] = flag ? 1.0 : 0.0;
-  else if (double value; at.get(value) == simdjson::SUCCESS)
-    given[ours] = value;
-  else if (std::string_view word; at.get(word) == simdjson::SUCCESS)
-    given[ours] = our_word(word);
-}
-void take(Given& given, const object& from, std::string_view name, const std::string& ours) {
-  if (element at; from[name].get(at) == simdjson::SUCCESS) put(given, at, ours);
-}
-using Names = std::initializer_list<std::pair<const char*, const char*>>; // the wire's and ours
-void take_all(Given& given, const object& from, const std::string& before, Names names) {
-  for (const auto& [wire, ours] : names) take(given, from, wire, before + ours);
-}
-void take_row(Given& given, const object& from, std::string_view name, const std::string& before,
-              const std::string& after) {
-  simdjson::dom::array row;
-  if (from[name].get(row) != simdjson::SUCCESS) return;
-  std::size_t i = 0;
-  for (const element at : row) put(given, at, before + std::to_string(i++) + after);
-}
-object entry_of(const element& at, std::string_view row) {
-  object entry;
-  if (at.get(entry) != simdjson::SUCCESS) bad("an entry that is no object in", row);
-  return entry;
-}
-
-Given given_by(const object& config) {
-  Given given;
-  take(given, config, "fleet_size", "fleet_size");
-  take(given, config, "value_by", "value_by");
-  take(given, config, "over_share_worth", "over_share_worth");
-  take(given, config, "period_ns", "period_ns");
-  if (object info; config["family_info"].get(info) == simdjson::SUCCESS) {
-    take_all(given, info, "",
-             {{"below", "below"},
-              {"callers", "callers"},
-              {"calls_out", "call_share"},
-              {"calls_over_ns", "calls_over_ns"},
-              {"cold", "cold"},
-              {"cpus", "cores"},
-              {"deep_checks", "deep_checks"},
-              {"fresh_for_ns", "fresh_for_ns"},
-              {"halt", "halt"},
-              {"heeded_ns", "heeded_ns"},
-              {"idle_ns", "idle_ns"},
-              {"key_kb", "key_kb"},
-              {"list_follows", "list_follows"},
-              {"mem_limit_kb", "memory_kb"},
-              {"run_factor", "run_factor"},
-              {"say", "say"},
-              {"stays_for_ns", "call_linger_ns"},
-              {"tells_gone", "tells_gone"}});
-    take_row(given, info, "gauges", "gauge.", "");
-    take_row(given, info, "calls_by_class", "op_type.", ".may_call");
-    take_row(given, info, "class_skip_worth", "op_type.", ".without_share");
-  }
-  if (object rules; config["invariants"].get(rules) == simdjson::SUCCESS)
-    take_all(given, rules, "",
-             {{"answer_slack_ns", "answer_slack_ns"},
-              {"cold_from", "cold_from"},
-              {"warm_after_ns", "warm_after_ns"},
-              {"drain_grace_ns", "drain_grace_ns"},
-              {"fall_multiple", "fall_multiple"},
-              {"fall_ns", "fall_ns"}});
-  if (object limits; config["limits"].get(limits) == simdjson::SUCCESS) {
-    take(given, limits, "retry_after", "stay_away_heeded");
-    take(given, limits, "max_retry_after_ns", "max_stay_away_ns");
-  }
-  if (object clients; config["clients"].get(clients) == simdjson::SUCCESS)
-    take(given, clients, "marks_retry", "marks_retry");
-  if (object prices; config["prices"].get(prices) == simdjson::SUCCESS)
-    for (const char* price : {"connection", "handshake", "late_fail", "origin", "waste"})
-      take(given, prices, price, std::string("price.") + price);
-  std::size_t i = 0;
-  if (simdjson::dom::array types; config["categories"].get(types) == simdjson::SUCCESS)
-    for (const element at : types) {
-      const object type = entry_of(at, "categories");
-      const std::string before = "op_type." + std::to_string(i++) + ".";
-      take_all(given, type, before,
-               {{"deadline_ns", "op_timeout_ns"},
-                {"target_ns", "target_latency_ns"},
-                {"key_ttl_ns", "key_window_ns"},
-                {"importance", "importance"},
-                {"late_share", "late_share"},
-                {"aim_stretch", "target_stretch"},
-                {"effect", "repeats"}});
-    }
-  i = 0;
-  if (simdjson::dom::array tenants; config["parties"].get(tenants) == simdjson::SUCCESS)
-    for (const element at : tenants) {
-      const object tenant = entry_of(at, "parties");
-      const std::string before = "tenant." + std::to_string(i++) + ".";
-      take(given, tenant, "quota_rps", before + "quota");
-      take(given, tenant, "share", before + "share");
-    }
-  return given;
-}
-
 struct Instance {
   WireServer server;
   std::unique_ptr<Choice> choice;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -86,6 +86,10 @@
 constexpr double part_step = 1.0 / 32; // of an op in the parts of ops nacked or tried before
 constexpr double full_elsewhere = 4;   // times that part of the nacks ask not to try elsewhere
 constexpr double tokens_per_cap = 3;   // ops out here for each allowed to run, at full openness
+constexpr Nanos report_part = 6;       // of the time that a report counts: two may get lost, with room
+constexpr Nanos idle_call_part = 4;    // of the time after which the other side closes: never a race with it
+constexpr Nanos link_rest = 20 * ms;   // before the link is made anew: no load, short against a run
+constexpr Nanos end_rest = 500 * ms;   // for callers to close what takes no new op: some round trips
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -156,6 +160,12 @@
   for (int t = 0; given.contains("tenant." + std::to_string(t) + ".quota"); ++t)
     tenants_.push_back({.quota = number(given, "tenant." + std::to_string(t) + ".quota", 0) / fleet});
   progress_at_ = counted_from_ = now;
+  const Nanos report = span(given, "list_lapse_ns", 0) / report_part;
+  server_.pace(Pace::report, report);
+  server_.pace(Pace::report_wait, report);
+  server_.pace(Pace::link_again, link_rest);
+  server_.pace(Pace::call_idle, span(given, "call_idle_ns", 0) / idle_call_part);
+  server_.pace(Pace::leave_to_end, end_rest);
   server_.health(true, true);
   server_.wake_at(now + tick, WakeId{1});
 }
@@ -880,9 +890,20 @@
   place_calls(now);
   settle(now);
   tell(now);
+  // Past the delay nothing more is served: callers that are told so, or get no connection, lose no time here.
+  if (drained_at_ >= 0 && now > serve_until_ && !doors_closed_) {
+    doors_closed_ = true;
+    server_.close_doors();
+  }
   server_.wake_at(now + tick, WakeId{1});
 }
 
+void Choice::machine_up(Nanos now, Nanos since) {
+  pass_to(now);
+  born_ = now - since;
+  progress_at_ = now;
+}
+
 // The stored health turns bad at once. Ops are served for a shutdown delay that ends by the grace and early
 // enough for a run to end before the kill; all that was read is answered before it.
 void Choice::drain(Nanos now, Nanos until_kill) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -14,6 +14,15 @@
 
 namespace cometshift {
 
+// What a server on sockets does by itself now and then, or waits for.
+enum class Pace {
+  report,       // between reports to the list of servers
+  report_wait,  // for the reply to a report, before it is made anew
+  link_again,   // before the link to the machine is made anew
+  call_idle,    // a connection for calls may stand idle
+  leave_to_end, // between telling a caller that its connection takes no new op and closing it
+};
+
 // What a server can be told to do.
 class Server {
  public:
@@ -32,6 +41,9 @@
   virtual void idle_close(Nanos after) = 0; // 0: as the site has it
   virtual void wake_at(Nanos at, WakeId name) = 0;
   virtual void log(std::string_view words) = 0;
+  // Only for servers on sockets.
+  virtual void pace(Pace, Nanos) {}
+  virtual void close_doors() {} // no new ops on any connection, and no new connections
 };
 
 class Choice {
@@ -50,6 +62,7 @@
   void call_ended(Nanos now, OpId id, Outcome outcome, Nanos lag);
   void woken(Nanos now, WakeId name, std::span<const double> gauges);
   void drain(Nanos now, Nanos until_kill);
+  void machine_up(Nanos now, Nanos since); // it started that long ago; unsaid: with this object
 
  private:
   struct Tenant {
@@ -186,6 +199,7 @@
   Nanos drained_at_ = -1; // -1: not told to leave
   Nanos serve_until_ = 0;
   Nanos answer_by_ = 0;
+  bool doors_closed_ = false;
 };
 
 } // namespace cometshift
