--- a/node/front.cpp
+++ b/node/front.cpp
@@ -32,33 +32,50 @@
 
 Front::Front(asio::io_context& io, const std::string& listen, std::size_t most_connections,
              std::size_t most_waiting, Names names, Taker& taker)
-    : io_(io), acceptor_(io, endpoint_of(listen)), retry_(io), most_connections_(most_connections),
-      most_waiting_(most_waiting), names_(std::move(names)), taker_(taker) {
-  acceptor_.non_blocking(true);
+    : io_(io), acceptor_(io), retry_(io), most_connections_(most_connections), most_waiting_(most_waiting),
+      names_(std::move(names)), taker_(taker) {
+  try {
+    const asio::ip::tcp::endpoint at = endpoint_of(listen);
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(
+        asio::socket_base::reuse_address(true)); // against waiting for an earlier life's ends
+    acceptor_.bind(at);
+    acceptor_.listen();
+    acceptor_.non_blocking(true);
+  } catch (const asio::system_error& e) {
+    throw std::invalid_argument("listen: " + listen + ": " + e.code().message());
+  }
   accept();
 }
 
 // ---- connections come and go
 
+// Takes all that wait to be accepted.
+asio::error_code Front::accept_all() {
+  asio::error_code error;
+  while (connections_.size() < most_connections_) {
+    asio::ip::tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (error) break;
+    asio::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const std::uint64_t id = next_++;
+    Connection& c =
+        *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
+    c.last = now_;
+    readable(c);
+  }
+  return error;
+}
+
 void Front::accept() {
   if (accepting_ || doors_closed_ || connections_.size() >= most_connections_) return;
   accepting_ = true;
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
     accepting_ = false;
     if (doors_closed_) return;
-    while (!error && connections_.size() < most_connections_) {
-      asio::ip::tcp::socket socket(io_);
-      acceptor_.accept(socket, error);
-      if (error) break;
-      asio::error_code ignored;
-      socket.non_blocking(true, ignored);
-      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-      const std::uint64_t id = next_++;
-      Connection& c =
-          *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
-      c.last = now_;
-      readable(c);
-    }
+    if (!error) error = accept_all();
     if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
       return accept();
     // Against spinning where no descriptor is free: what waits is accepted when one is.
@@ -88,8 +105,9 @@
 
 void Front::sweep() {
   std::vector<std::uint64_t> ended;
+  const Nanos least = std::min(idle_ > 0 ? idle_ : silent_, silent_ > 0 ? silent_ : idle_);
   for (auto& [id, c] : connections_) {
-    if (idle_ > 0 && c->open.empty() && now_ - c->last >= idle_) tell_no_more(*c);
+    if (least > 0 && c->open.empty() && now_ - c->last >= least) tell_no_more(*c);
     if (over(*c)) ended.push_back(id);
   }
   for (const std::uint64_t id : ended) drop(*connections_.at(id), nullptr);
@@ -101,12 +119,13 @@
   say(c, [](std::string& out) { frames::put_no_more(out); });
 }
 
-void Front::idle_close(Nanos after) { idle_ = after; }
-
 void Front::close_doors() {
+  if (doors_closed_) return;
   doors_closed_ = true;
+  accept_all(); // against resetting what was connected, and may have been written to, already
   asio::error_code ignored;
   acceptor_.close(ignored);
+  retry_.cancel();
   for (auto& [id, c] : connections_) tell_no_more(*c);
 }
 
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -53,7 +53,8 @@
 
   void health(bool good) { good_ = good; }
   void feedback(double value) { feedback_ = value; }
-  void idle_close(Nanos after);
+  void idle_close(Nanos after) { idle_ = after; }
+  void silent_close(Nanos after) { silent_ = after; }
   void leave_to_end(Nanos time) { leave_to_end_ = time; }
   void close_doors();
   bool closed() const { return doors_closed_ && connections_.empty(); }
@@ -85,6 +86,7 @@
   };
 
   void accept();
+  asio::error_code accept_all();
   void await_bytes(Connection& c);
   void readable(Connection& c);
   void parse(Connection& c);
@@ -117,6 +119,7 @@
   Nanos now_ = 0;
   Nanos swept_at_ = 0;
   Nanos idle_ = 0; // 0: connections may stay silent
+  Nanos silent_ = 0;
   Nanos leave_to_end_ = 0;
   double feedback_ = -1;
   bool good_ = true;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t own_part = 8;      // of the descriptors, for the listener, the links, files and room
 
 constexpr Nanos key_slack = 100 * ms; // time limits on sockets are 50 ms longer, and clocks differ a little
-constexpr Nanos stray_rest = second;  // after its answer an op is known to be over by the interpreter too
+constexpr Nanos stray_rest = 2 * second; // after its answer an op is known to be over by the interpreter too
 constexpr Nanos longest_wait = 3600 * second; // of an op before it was read: older is a wrong clock
 
 Front::Names names_in(const Given& given) {
@@ -104,6 +104,14 @@
   }
 }
 
+bool Host::poll() {
+  now_known_ = false;
+  io_.restart();
+  io_.poll();
+  turn();
+  return !over();
+}
+
 bool Host::over() const {
   return draining_ && doors_closed_ && front_.closed() &&
          std::all_of(ops_.begin(), ops_.end(), [](const auto& entry) { return entry.second.answered; });
@@ -134,7 +142,7 @@
   }
   records_.sweep(now());
   forget_old();
-  resend_strays();
+  settle_strays();
 }
 
 void Host::arm() {
@@ -275,37 +283,34 @@
 }
 
 // The link is new, and all that ended before is known. What was never sent goes now. Of what was sent and may
-// not have been read, only what may run twice is sent again at once: a run may end at this moment.
+// not have been read, only what may run twice is sent again: a run may end at this moment.
 void Host::caught_up(std::uint64_t heard) {
+  std::vector<OpId> moot;
   for (auto& [raw, op] : ops_) {
     const OpId id{raw};
-    if (op.run == Op::Run::wanted) {
+    if (op.run == Op::Run::wanted && op.answered)
+      moot.push_back(id); // was never begun, and never will be
+    else if (op.run == Op::Run::wanted || (op.run == Op::Run::sent && !op.heard && op.run_known > heard &&
+                                           repeats_[op.type.raw] == Repeats::retryable))
       send_run(id, op);
-    } else if (op.run == Op::Run::sent && !op.heard && op.run_known > heard) {
-      if (repeats_[op.type.raw] == Repeats::retryable)
-        send_run(id, op);
-      else
-        strays_.push_back(id);
-    }
     if (op.run == Op::Run::sent && op.reply) {
       interpreter_.resume(id, *op.reply);
       op.reply.reset();
       op.at_call = false;
     }
   }
+  for (const OpId id : moot) run_over(id, Outcome::moot, 0, {});
 }
 
-// An op that must not run twice and whose start may be lost is settled once it has been answered: then a
-// start begins nothing, but tells how it stands.
-void Host::resend_strays() {
-  std::erase_if(strays_, [this](OpId id) {
-    const auto at = ops_.find(id.raw);
-    if (at == ops_.end() || at->second.run != Op::Run::sent || at->second.heard) return true;
-    if (!interpreter_.up() || !at->second.answered || now() - at->second.answered_at < stray_rest)
-      return false;
-    send_run(id, at->second);
-    return true;
-  });
+// Against a run counted for ever because its start or its end got lost: once its op was answered a while ago,
+// it is started again. That begins nothing, the op being over, but tells how the run stands if it is over
+// too.
+void Host::settle_strays() {
+  if (!interpreter_.up() || now() - looked_at_ < stray_rest) return;
+  looked_at_ = now();
+  for (auto& [raw, op] : ops_)
+    if (op.run == Op::Run::sent && op.answered && now() - op.answered_at >= stray_rest)
+      send_run(OpId{raw}, op);
 }
 
 void Host::run_over(OpId id, Outcome outcome, Nanos lag, std::string result) {
@@ -509,6 +514,8 @@
     return records_.idle_close(time);
   case Pace::leave_to_end:
     return front_.leave_to_end(time);
+  case Pace::silent_close:
+    return front_.silent_close(time);
   }
 }
 
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -25,6 +25,7 @@
   // As read by configuration.hpp.
   explicit Host(const Given& given);
   void serve(); // returns once a drain is over
+  bool poll();  // what is ready, without waiting, for a loop of another's; false once a drain is over
   void stop();  // drain now, as at the signal
 
  private:
@@ -104,7 +105,7 @@
   void drop_result(Kept& entry);
   void finish_reused();
   void forget_old();
-  void resend_strays();
+  void settle_strays();
 
   asio::io_context io_;
   asio::signal_set signals_;
@@ -125,7 +126,6 @@
   std::size_t most_results_;
   std::size_t most_ops_;
   std::vector<OpId> reused_; // to be answered after the module has returned
-  std::vector<OpId> strays_; // starts that may be lost, of ops that must not run twice
 
   using Wake = std::pair<Nanos, std::uint64_t>;
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
@@ -134,6 +134,7 @@
   Nanos asked_at_ = 0;
   Nanos asked_for_ = 0; // the wake-up that the gauges were asked for
   Nanos round_trip_ = 0;
+  Nanos looked_at_ = 0; // for starts that came to nothing
   Nanos now_ = 0;
   Nanos shift_ = 0; // of our clock against the system's, which may be set back
   bool now_known_ = false;
--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -43,6 +43,11 @@
   return hex.size() == 16 && wrong == std::errc() && end == hex.data() + hex.size();
 }
 
+bool content_in(const object& o, std::string& into) {
+  std::string_view found;
+  return o["content"].get(found) == simdjson::SUCCESS && read_base64(found, into);
+}
+
 } // namespace
 
 void put_base64(std::string& out, std::string_view bytes) {
@@ -159,20 +164,30 @@
   await_bytes();
 }
 
+// Against a notice that was lost or spoilt on the way: a new link brings it again. Once; then it is passed
+// over.
+bool Interpreter::once_more(std::uint64_t after) {
+  if (retried_ == after) return false;
+  retried_ = last_ = after;
+  broken("a notice is missing or can't be read");
+  return true;
+}
+
+void Interpreter::unreadable(std::uint64_t number, const char* what) {
+  if (number == 0 || !once_more(number - 1)) note("notice", "passed over, %s", what);
+}
+
 void Interpreter::line(const char* at, std::size_t size) {
   element all;
   object o;
   if (parser_.parse(at, size).get(all) != simdjson::SUCCESS || all.get(o) != simdjson::SUCCESS)
     return note("notice", "passed over, not an object of JSON");
   const std::string_view action = word(o, "action");
+  std::uint64_t number = 0;
   if (element pos; o["pos"].get(pos) == simdjson::SUCCESS) {
-    const std::uint64_t number = whole(o, "pos");
+    number = whole(o, "pos");
     if (number <= last_) return; // seen, on a link before
-    if (number > last_ + 1 && gap_ != last_) {
-      // Against a notice lost on the way: it is asked for once more by a new link, once.
-      gap_ = last_;
-      return broken("notices are missing");
-    }
+    if (number > last_ + 1 && once_more(last_)) return;
     if (number > last_ + 1)
       note("notice", "missing from %llu to %llu", static_cast<unsigned long long>(last_ + 1),
            static_cast<unsigned long long>(number - 1));
@@ -186,15 +201,13 @@
                             : code == "broken_off" ? Outcome::halted
                             : code == "late"       ? Outcome::moot
                                                    : Outcome::failed;
-    if (!id_in(o, id)) return note("notice", "passed over, an end without a uid");
+    if (!id_in(o, id)) return unreadable(number, "an end without a uid");
     // What can't be read is no result: the run has failed for all that can be told.
-    const bool readable = outcome != Outcome::done || (o["content"].error() == simdjson::SUCCESS &&
-                                                       read_base64(word(o, "content"), bytes));
-    if (!readable) note("notice", "an end whose content can't be read");
+    const bool readable = outcome != Outcome::done || content_in(o, bytes);
+    if (!readable && number > 0 && once_more(number - 1)) return;
     taker_.run_over(id, readable ? outcome : Outcome::failed, span_ms(o, "wall_ms"), std::move(bytes));
   } else if (action == "AWAIT") {
-    if (!id_in(o, id) || !read_base64(word(o, "content"), bytes))
-      return note("notice", "passed over, a call that can't be read");
+    if (!id_in(o, id) || !content_in(o, bytes)) return unreadable(number, "a call that can't be read");
     taker_.call_wanted(id, std::move(bytes));
   } else if (action == "TOPS") {
     std::vector<double> values;
@@ -206,9 +219,9 @@
         values.push_back(value);
       }
     const std::string_view tag = word(o, "echo");
-    std::uint64_t number = 0;
-    std::from_chars(tag.data(), tag.data() + tag.size(), number);
-    if (number > answered_ && number <= asked_) answered_ = number;
+    std::uint64_t question = 0;
+    std::from_chars(tag.data(), tag.data() + tag.size(), question);
+    if (question > answered_ && question <= asked_) answered_ = question;
     taker_.gauges(values);
     // The answer to the first question of a link comes after all that was replayed.
     if (!up_ && answered_ > heard_before_ && answered_ == asked_) {
@@ -220,7 +233,7 @@
     note("interpreter", "up for %lld ms, %.*s", static_cast<long long>(span_ms(o, "wall_ms") / 1'000'000),
          static_cast<int>(std::min<std::size_t>(word(o, "code").size(), 40)), word(o, "code").data());
     taker_.machine_up(span_ms(o, "wall_ms"));
-    ask_gauges();
+    question();
   } else if (action == "ERROR") {
     if (id_in(o, id)) taker_.not_carried_out(id, word(o, "code"));
   } else if (action != "TRACE") {
@@ -260,7 +273,10 @@
 }
 
 void Interpreter::ask_gauges() {
-  if (!open_ || (up_ && asked_ != answered_)) return;
+  if (up_ && asked_ == answered_) question();
+}
+
+void Interpreter::question() {
   out_ += "{\"action\":\"TOP\",\"echo\":\"" + std::to_string(++asked_) + "\"}\n";
 }
 
--- a/node/interpreter.hpp
+++ b/node/interpreter.hpp
@@ -37,7 +37,7 @@
   // Only while up. What is sent before the question of a number is known to be read once that is answered.
   void run(OpId id, std::string_view op_type, std::string_view body);
   void resume(OpId id, std::string_view reply);
-  void ask_gauges(); // unless an answer is still out
+  void ask_gauges(); // unless the answer to a question before is still out
   std::uint64_t next_question() const { return asked_ + 1; }
   std::uint64_t answered() const { return answered_; }
 
@@ -50,6 +50,9 @@
   void await_bytes();
   void readable();
   void line(const char* at, std::size_t size);
+  bool once_more(std::uint64_t after);
+  void unreadable(std::uint64_t number, const char* what);
+  void question();
   void command(std::string_view action, OpId id);
   void content(std::string_view bytes);
 
@@ -63,9 +66,9 @@
   std::size_t filled_ = 0;
   std::string out_;
   std::size_t written_ = 0;
-  std::uint64_t link_ = 0; // counts them; handlers of earlier ones do nothing
-  std::uint64_t last_ = 0; // notice read
-  std::uint64_t gap_ = 0;  // the notice after which some were missing, on the link before
+  std::uint64_t link_ = 0;                    // counts them; handlers of earlier ones do nothing
+  std::uint64_t last_ = 0;                    // notice read
+  std::uint64_t retried_ = ~std::uint64_t{0}; // a link was made anew for what comes after this notice
   std::uint64_t asked_ = 0;
   std::uint64_t answered_ = 0;
   std::uint64_t heard_before_ = 0; // answered when the link was made
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -21,6 +21,7 @@
   link_again,   // before the link to the machine is made anew
   call_idle,    // a connection for calls may stand idle
   leave_to_end, // between telling a caller that its connection takes no new op and closing it
+  silent_close, // a caller's connection may be silent, however it was left
 };
 
 // What a server can be told to do.
--- /dev/null
+++ b/tests/announce.cpp
@@ -0,0 +1,56 @@
+#include "announce.hpp"
+#include "scene.hpp"
+
+#include <asio/io_context.hpp>
+
+int main() {
+  asio::io_context io;
+  Announce announce(io, Peer::at(2379), "n3");
+  announce.report_every(5 * ms);
+  announce.wait_for_reply(500 * ms);
+  Peer::turn = [&] {
+    io.restart();
+    io.poll();
+  };
+  const auto say = [](const char* what) { std::printf("# %s\n", what); };
+  const auto heard = [](Peer& peer) { std::printf("> %s\n", peer.request({}).c_str()); };
+  const std::string ok = "HTTP/1.1 204 No Content\r\n\r\n";
+
+  say("the service is down at first; reports go on, and are seen once it is up");
+  announce.accepting(true);
+  Peer::turn();
+  Peer service = Peer::listening(2379);
+  Peer at = service.next();
+  heard(at);
+  at.say(ok);
+  say("again and again on the same connection");
+  heard(at);
+
+  say("a change while a report is under way is reported after it, with no rest");
+  announce.report_every(60'000 * ms);
+  announce.accepting(false);
+  at.say(ok);
+  heard(at);
+  at.say(ok);
+  say("a change between reports goes at once; none, nothing");
+  announce.accepting(false);
+  announce.accepting(true);
+  heard(at);
+
+  say("a connection that ends, a reply that is none, or none in time: another is made");
+  announce.report_every(ms);
+  at.reset();
+  at = service.next();
+  heard(at);
+  at.say("nonsense\r\n\r\n");
+  at = service.next();
+  heard(at);
+  at.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+  at = service.next();
+  heard(at);
+  announce.wait_for_reply(ms);
+  at.say(ok);
+  heard(at);
+  Peer next = service.next();
+  heard(next);
+}
--- /dev/null
+++ b/tests/frames.cpp
@@ -0,0 +1,53 @@
+#include "scene.hpp"
+
+void show(const char* what, const std::string& bytes) {
+  std::printf("%-10s", what);
+  for (const char c : bytes) std::printf(" %02x", static_cast<unsigned char>(c));
+  std::puts("");
+}
+
+void read(const char* what, std::string_view payload) {
+  std::string_view rest;
+  std::string said;
+  const bool whole = frames::fields(
+      payload, [&](auto name, auto value) { said.append(name).append("=").append(value).append(" "); }, rest);
+  std::printf("%-24s %s, %zu left: %s\n", what, whole ? "read" : "overrun", whole ? rest.size() : 0,
+              said.c_str());
+}
+
+int main() {
+  std::string out;
+  frames::put_answer(out, frames::answer, 7, frames::good, -1, 0, false, 2);
+  show("served", out + "ok");
+  out.clear();
+  frames::put_answer(out, frames::answer, 0x01020304, frames::refused, 0.25, 120, true, 0);
+  show("refused", out);
+  out.clear();
+  frames::put_answer(out, frames::checked, 2, frames::bad, 0, 0, false, 0);
+  show("checked", out);
+  out.clear();
+  frames::put_no_more(out);
+  show("no more", out);
+
+  using namespace std::string_literals;
+  read("no payload", "");
+  read("no fields", "\0body"s);
+  read("two and a body", "\2\1a\2\0xx\0\0\0body"s);
+  read("a name cut off", "\1\5abc"s);
+  read("a size cut off", "\1\1a\2"s);
+  read("a value cut off", "\1\1a\3\0xx"s);
+  read("fewer than counted", "\2\1a\0\0"s);
+
+  for (const std::uint32_t length : {4u, 5u, 262'144u, 262'145u})
+    std::printf("length %u: %s\n", length, frames::possible(length) ? "possible" : "out of range");
+  for (const char* text :
+       {"9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d4g", "-b1f03aa5c7e2d41", ""}) {
+    std::uint64_t id = 0;
+    std::printf("hex %s: %s\n", text, frames::read_hex(text, id) ? "read" : "malformed");
+  }
+  for (const char* text : {"24.5", "1e3", "", "nan", "inf", "1e999", "2 ", "0x2", "1,5"}) {
+    double value = 0;
+    std::printf("number %s: %s\n", text,
+                frames::read_number(text, value) ? std::to_string(value).c_str() : "malformed");
+  }
+}
--- /dev/null
+++ b/tests/front.cpp
@@ -0,0 +1,220 @@
+#include "front.hpp"
+#include "scene.hpp"
+
+#include <asio/io_context.hpp>
+
+constexpr Nanos second = 1000 * ms;
+
+struct Told final : Front::Taker {
+  std::vector<Line> lines;
+  std::vector<Line> lost;
+  bool quiet = false;
+
+  void op_came(Line line, OpId id, OpTypeId type, TenantId tenant, CallerId caller, Nanos door, Nanos limit,
+               double held_kb, double rank, std::string_view mark, std::string_view subject,
+               std::string_view body) override {
+    lines.push_back(line);
+    if (quiet) return;
+    std::printf("  op %llx type %u tenant %u caller %llu door %lld limit %lld kb %.1f rank %.3f", // as told
+                static_cast<unsigned long long>(id.raw), type.raw, tenant.raw,
+                static_cast<unsigned long long>(caller.raw), static_cast<long long>(door / ms),
+                static_cast<long long>(limit / ms), held_kb, rank);
+    std::printf(" mark %s subject %s body of %zu\n", std::string(mark).c_str(), std::string(subject).c_str(),
+                body.size());
+  }
+  void line_lost(Line line) override { lost.push_back(line); }
+};
+
+struct Bench {
+  asio::io_context io;
+  Told told;
+  Nanos now = second;
+  Front front{io,  Peer::at(5050), 4, 64 * 1024, {{"look", "book"}, {false, true}, {"acme", "other"}, true},
+              told};
+  Bench() {
+    front.leave_to_end(second);
+    Peer::turn = [this] {
+      io.restart();
+      io.poll();
+      front.flush(now);
+    };
+  }
+  Line asked(Peer& peer, const std::string& bytes) {
+    const std::size_t before = told.lines.size();
+    peer.say(bytes);
+    return last(before + 1);
+  }
+  Line last(std::size_t count) {
+    Peer::until("op", [&] { return told.lines.size() >= count; });
+    return told.lines.back();
+  }
+};
+
+void say(const char* what) { std::printf("# %s\n", what); }
+void heard(Peer& peer) { std::printf("  %s\n", peer.frame().c_str()); }
+
+int main() {
+  const std::string txn = "9b1f03aa5c7e2d41";
+  Bench b;
+  Peer good = Peer::to(5050);
+  say("an op and its answer; checks; the free value from when it is told; a good connection stays good");
+  good.say(ask(1, txn, {{"item", "7f3a"}}));
+  b.front.served(b.last(1), "result");
+  heard(good);
+  good.say(frame_of(frames::check, 9, {{"x", "y"}}));
+  heard(good);
+  b.front.feedback(0.25);
+  b.front.health(false);
+  good.say(frame_of(frames::check, 10, {}));
+  heard(good);
+
+  say("readable, but not to be understood: one refusal each, and nothing else hears of them");
+  std::uint32_t stream = 1;
+  const std::vector<Fields> wrong{{{"verb", "unknown"}},
+                                  {{"verb", ""}},
+                                  {{"team", "nobody"}},
+                                  {{"team", ""}},
+                                  {{"txn", "xyz"}},
+                                  {{"txn", ""}},
+                                  {{"txn", "0000000000000000"}},
+                                  {{"door", ""}},
+                                  {{"door", "-1"}},
+                                  {{"door", "99999999999999999999"}},
+                                  {{"lb", "x"}},
+                                  {{"limit", "0"}},
+                                  {{"limit", ""}},
+                                  {{"ram", "2000"}},
+                                  {{"ram", "0"}},
+                                  {{"ram", "nan"}},
+                                  {{"standing", "1"}},
+                                  {{"standing", ""}},
+                                  {{"verb", "book"}},
+                                  {{"item", std::string(65, 'x')}}};
+  for (const Fields& fields : wrong) good.say(ask(++stream, txn, fields)), heard(good);
+  good.say(ask(++stream, txn, {}, std::string(2049, 'x')));
+  heard(good);
+  good.say(frame_of(frames::ask, ++stream, {{"verb", "look"}, {"verb", "look"}}));
+  heard(good);
+  good.say(ask(++stream, txn, {}, std::string(200'000, 'x')));
+  heard(good);
+  good.say(ask(++stream, txn, {{"verb", "book"}, {"unique", "5c0f"}, {"more", "z"}}, std::string(2048, 'x')));
+  b.front.refused(b.last(2), 120 * ms, true);
+  heard(good);
+
+  say("the 33rd open on a connection is refused, the others answered in any order");
+  b.told.quiet = true;
+  for (int i = 0; i < 33; ++i) good.say(ask(++stream, txn));
+  heard(good);
+  while (b.told.lines.size() > 2) b.front.failed(b.told.lines.back()), b.told.lines.pop_back();
+  heard(good);
+  for (int i = 0; i < 30; ++i) good.frame();
+  heard(good);
+
+  const std::string head("\x09\0\0\0\x0a\0\0\0\0\1\5ab\0", 13);
+  const std::pair<const char*, std::string> unreadable[] = {
+      {"a length under the least", std::string("\4\0\0\0", 4)},
+      {"a length over the most", std::string("\1\0\4\0", 4)},
+      {"an unknown type", frame_of(12, 3, {})},
+      {"a type only servers send", frame_of(frames::answer, 3, {})},
+      {"fields that overrun it", head},
+      {"stream 0", ask(0, txn)},
+      {"a stream used twice", ask(1, txn)}};
+  for (const auto& [what, bytes] : unreadable) {
+    say(what);
+    Peer bad = Peer::to(5050);
+    bad.say(ask(1, txn));
+    const Line open = b.last(3);
+    bad.say(bytes + ask(2, txn));
+    heard(bad), heard(bad);
+    b.front.served(open, "settled first");
+    heard(bad);
+    b.now += second;
+    bad.to_end();
+    if (b.told.lines.size() != 3) std::puts("  more was read");
+    b.told.lines.pop_back();
+  }
+  good.say(ask(++stream, txn));
+  b.front.served(b.last(3), "still here");
+  heard(good);
+
+  say("half a frame for ever, then a reset: its open op is lost, once");
+  {
+    Peer half = Peer::to(5050);
+    half.say(ask(5, txn) + ask(6, txn).substr(0, 30));
+    b.last(4);
+    half.reset();
+    Peer::until("loss", [&] { return !b.told.lost.empty(); });
+    std::printf("  lost: %zu, stream %u, read %zu, connections %zu\n", b.told.lost.size(),
+                b.told.lost[0].stream, b.told.lines.size(), b.front.connections());
+    b.front.served(b.told.lost[0], "nobody hears it");
+  }
+
+  say("an end of what it sends still leaves it its answer");
+  {
+    Peer done = Peer::to(5050);
+    done.say(ask(5, txn));
+    const Line line = b.last(5);
+    done.stop_sending();
+    b.front.served(line, "late");
+    heard(done);
+    done.to_end();
+  }
+
+  say("a peer that never reads is dropped before it fills the memory");
+  {
+    Peer deaf = Peer::to(5050);
+    std::uint32_t asked = 0;
+    Peer::until("drop", [&] {
+      const std::size_t before = b.told.lines.size();
+      if (b.front.connections() == 2) {
+        deaf.say(ask(++asked, txn));
+        if (b.told.lines.size() > before) b.front.served(b.told.lines.back(), std::string(4096, 'x'));
+      }
+      return b.front.connections() == 1 && asked > 0;
+    });
+    std::printf("  dropped: %s\n", asked > 16 ? "after more than 64 KB" : "too early");
+  }
+
+  say("no more connections than allowed; the next is taken when one ends");
+  {
+    Peer three[] = {Peer::to(5050), Peer::to(5050), Peer::to(5050)};
+    Peer::until("connections", [&] { return b.front.connections() == 4; });
+    Peer fifth = Peer::to(5050);
+    fifth.say(frame_of(frames::check, 1, {}));
+    std::printf("  %zu connections\n", b.front.connections());
+    three[0].reset();
+    heard(fifth);
+  }
+  Peer::until("ends", [&] { return b.front.connections() == 1; });
+
+  say("silent for too long: told that it takes no more, then closed; not with an op open");
+  {
+    b.front.silent_close(30 * second);
+    Peer silent = Peer::to(5050);
+    silent.say(frame_of(frames::check, 1, {}));
+    heard(silent);
+    const Line line = b.asked(good, ask(++stream, txn));
+    b.now += 31 * second;
+    heard(silent);
+    b.now += second;
+    silent.to_end();
+    b.front.served(line, "was open");
+    heard(good);
+  }
+
+  say("doors closed: what was connected before is told so, still read and answered, then closed; no others");
+  Peer waiting = Peer::to(5050);
+  const Line line = b.asked(good, ask(++stream, txn));
+  b.front.close_doors();
+  heard(waiting), heard(good);
+  std::printf("  closed: %d\n", b.front.closed());
+  b.front.refused(b.asked(good, ask(++stream, txn)), 0, false);
+  heard(good);
+  b.front.served(line, "the last");
+  heard(good);
+  b.now += second;
+  good.to_end(), waiting.to_end();
+  std::printf("  closed: %d\n", b.front.closed());
+  Peer late = Peer::to(5050);
+  std::printf("  after it: %s\n", late.refused() ? "refused" : "taken");
+}
--- /dev/null
+++ b/tests/host.cpp
@@ -0,0 +1,191 @@
+#include "host.hpp"
+#include "configuration.hpp"
+#include "scene.hpp"
+
+// A server whose link, records and announce services, and balancers, are played by the test.
+struct World {
+  Peer machines = Peer::listening(7300), lists = Peer::listening(2379), below = Peer::listening(5432);
+  std::unique_ptr<Host> host;
+  Peer machine, list, balancer;
+  std::string question;
+  bool over = false;
+
+  static Given given(const std::string& stop_ms) {
+    std::string json =
+        R"({"name":"n3","listen":"L","vm":"V","announce":"A","records":"R","seed":"8c1f30d27a5be964",
+      "stop_ms":)" +
+        stop_ms + R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+      "settings":{"family_info":{"cpus":2,"mem_limit_kb":5232.5,"gauges":["cpu_busy","runnable"],"key_kb":2,
+      "calls_by_class":[true,true],"passes_deadline":true},
+      "invariants":{"drain_grace_ns":1000000000,"fall_multiple":8.0},
+      "categories":[{"name":"look","deadline_ns":4000000000,"target_ns":3000000000,"effect":"read_like"},
+      {"name":"book","deadline_ns":4000000000,"target_ns":3000000000,"effect":"idempotency_key",
+       "key_ttl_ns":9000000000}],"parties":[{"name":"acme","quota_rps":68.0}]}})";
+    const std::pair<const char*, int> ports[] = {
+        {"\"L\"", 5050}, {"\"V\"", 7300}, {"\"A\"", 2379}, {"\"R\"", 5432}};
+    for (const auto& [name, port] : ports) json.replace(json.find(name), 3, '"' + Peer::at(port) + '"');
+    return configuration_in(json);
+  }
+
+  explicit World(const std::string& stop_ms)
+      : host(std::make_unique<Host>(given(stop_ms))), machine((start(), machines.next())), list(lists.next()),
+        balancer(Peer::to(5050)) {
+    machine.line(); // CONNECT
+    list.request({});
+  }
+  ~World() {
+    Peer::turn = [] {};
+  }
+  void start() {
+    Peer::turn = [this] { over = over || !host->poll(); };
+  }
+  void link_up(const std::string& notices = {}) {
+    machine.say("{\"action\":\"BANNER\",\"code\":\"running\",\"wall_ms\":5000}\n" + notices);
+    command();
+    answer_gauges();
+  }
+  void answer_gauges() {
+    machine.say("{\"action\":\"TOPS\",\"echo\":\"" + question + "\",\"meters\":[0.1,0]}\n");
+  }
+  // The next command that is no question for gauges; those are answered on the way, but for a link's first.
+  std::string command() {
+    for (;;) {
+      const std::string line = machine.line();
+      const std::size_t echo = line.find("\"echo\":\"");
+      if (echo == std::string::npos) return line;
+      const bool first = question.empty();
+      question = line.substr(echo + 8, line.find('"', echo + 8) - echo - 8);
+      if (first) return line;
+      answer_gauges();
+    }
+  }
+  void ask(std::uint32_t stream, const std::string& txn, Fields fields = {}) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    fields.emplace_back("door",
+                        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+    balancer.say(::ask(stream, txn, fields));
+  }
+  void book(std::uint32_t stream, const std::string& txn, const char* mark) {
+    ask(stream, txn, {{"verb", "book"}, {"unique", mark}});
+  }
+  void notice(int pos, const char* action, const std::string& txn, const std::string& more) {
+    machine.say("{\"action\":\"" + std::string(action) + "\",\"pos\":" + std::to_string(pos) + ",\"uid\":\"" +
+                txn + "\"" + more + "}\n");
+  }
+};
+
+void say(const char* what) { std::printf("# %s\n", what); }
+
+int main() {
+  const std::string a = "aaaaaaaaaaaaaaa1", b = "aaaaaaaaaaaaaaa2", c = "aaaaaaaaaaaaaaa3",
+                    d = "aaaaaaaaaaaaaaa4", e = "aaaaaaaaaaaaaaa5", f = "aaaaaaaaaaaaaaa6";
+  const std::string fine = ",\"code\":\"fine\",\"wall_ms\":3,\"content\":\"cmVzdWx0\"";
+  {
+    World w("3000");
+    const auto commanded = [&] { std::printf("  link: %s\n", w.command().c_str()); };
+    const auto answered = [&] { std::printf("  balancer: %s\n", w.balancer.frame().c_str()); };
+    const auto called = [&](Peer& at) { std::printf("  records: %s\n", at.request({"Op-Of"}).c_str()); };
+
+    say("before the machine is up checks are answered; an op is started once it is");
+    w.balancer.say(frame_of(frames::check, 1, {}));
+    answered();
+    w.ask(1, a);
+    w.link_up();
+    commanded();
+
+    say("its call, the reply and its result");
+    w.notice(1, "AWAIT", a, ",\"content\":\"Y2FsbA==\"");
+    Peer records = w.below.next();
+    called(records);
+    records.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+    commanded();
+    w.notice(2, "VALUE", a, fine);
+    answered();
+
+    say("a keyed op runs once: its repeats wait for it, or take its result later");
+    w.book(2, b, "m1");
+    commanded();
+    w.book(3, c, "m1");
+    w.book(4, b, "m1"); // not new, as it should be
+    answered();
+    w.notice(3, "VALUE", b, fine);
+    answered(), answered();
+    w.book(5, d, "m1");
+    answered();
+
+    say("an end heard twice, or of a run never started, is no second answer");
+    w.notice(4, "VALUE", b, fine);
+    w.notice(5, "VALUE", "ffffffffffffffff", fine);
+    w.notice(6, "AWAIT", b, ",\"content\":\"\"");
+    w.balancer.say(frame_of(frames::check, 2, {}));
+    answered();
+
+    say("a command that is not carried out: the op is answered");
+    w.ask(6, e);
+    commanded();
+    w.machine.say("{\"action\":\"ERROR\",\"code\":\"APPLY\",\"uid\":\"" + e + "\"}\n");
+    answered();
+
+    say("the link breaks behind two starts: what is keyed is not started again, what came meanwhile is "
+        "started");
+    w.book(7, f, "m2");
+    commanded();
+    w.ask(8, "bbbbbbbbbbbbbbb1");
+    commanded();
+    w.machine.reset();
+    w.machine = w.machines.next();
+    commanded();
+    w.book(9, "bbbbbbbbbbbbbbb2", "m3"); // two cores: held until one of the others ends
+    w.question.clear();
+    w.link_up();
+    commanded();
+    w.notice(7, "VALUE", f, fine);
+    answered();
+    commanded();
+
+    say("a balancer resets with an op on the cores: forgotten, and its slot is free once the run ends");
+    w.balancer.reset();
+    w.balancer = Peer::to(5050);
+    w.notice(8, "VALUE", "bbbbbbbbbbbbbbb1", fine);
+    w.notice(9, "VALUE", "bbbbbbbbbbbbbbb2", fine);
+    w.book(1, "ccccccccccccccc1", "m3");
+    answered();
+
+    say("told to leave: the list hears of it, checks turn bad, ops are still served; then no more, and the "
+        "end");
+    w.host->stop();
+    w.list.say("HTTP/1.1 204 No Content\r\n\r\n");
+    std::string report;
+    while (report.find("false") == std::string::npos) {
+      report = w.list.request({});
+      w.list.say("HTTP/1.1 204 No Content\r\n\r\n");
+    }
+    std::printf("  announce: %s\n", report.c_str());
+    w.balancer.say(frame_of(frames::check, 3, {}));
+    answered();
+    w.ask(2, "ccccccccccccccc2");
+    commanded();
+    answered(); // no more
+    w.ask(3, "ccccccccccccccc3");
+    answered();
+    std::printf("  over: %d\n", w.over);
+    w.notice(10, "VALUE", "ccccccccccccccc2", fine);
+    answered();
+    w.balancer.to_end();
+    Peer::until("end", [&] { return w.over; });
+    std::printf("  over: %d\n", w.over);
+  }
+  {
+    World w("400");
+    say("a run that does not end before the kill: its op is answered all the same, and the server ends");
+    w.link_up();
+    w.ask(1, a);
+    std::printf("  link: %s\n", w.command().c_str());
+    w.host->stop();
+    for (std::string frame; frame.find("on 1") == std::string::npos;)
+      std::printf("  balancer: %s\n", (frame = w.balancer.frame()).c_str());
+    w.balancer.to_end();
+    Peer::until("end", [&] { return w.over; });
+    std::printf("  over: %d\n", w.over);
+  }
+}
--- /dev/null
+++ b/tests/link.cpp
@@ -0,0 +1,139 @@
+#include "interpreter.hpp"
+#include "scene.hpp"
+
+#include <asio/io_context.hpp>
+
+struct Told final : Interpreter::Taker {
+  int caught = 0;
+  int heard = 0;
+
+  void machine_up(Nanos since) override {
+    std::printf("  up since %lld ms\n", static_cast<long long>(since / ms));
+  }
+  void caught_up(std::uint64_t known) override {
+    ++caught;
+    std::printf("  caught up, known to be read: question %llu\n", static_cast<unsigned long long>(known));
+  }
+  void run_over(OpId id, Outcome outcome, Nanos lag, std::string result) override {
+    ++heard;
+    std::printf("  run %llx over: outcome %d after %lld ms, %s\n", static_cast<unsigned long long>(id.raw),
+                static_cast<int>(outcome), static_cast<long long>(lag / ms), result.c_str());
+  }
+  void call_wanted(OpId id, std::string body) override {
+    ++heard;
+    std::printf("  run %llx wants %s\n", static_cast<unsigned long long>(id.raw), body.c_str());
+  }
+  void gauges(std::span<const double> values) override {
+    ++heard;
+    std::printf("  gauges %zu, first %.2f\n", values.size(), values.empty() ? -1 : values[0]);
+  }
+  void not_carried_out(OpId id, std::string_view command) override {
+    ++heard;
+    std::printf("  %s %llx not carried out\n", std::string(command).c_str(),
+                static_cast<unsigned long long>(id.raw));
+  }
+};
+
+int main() {
+  asio::io_context io;
+  Told told;
+  Peer machine = Peer::listening(7300);
+  Interpreter link(io, Peer::at(7300), told);
+  link.link_again(ms);
+  Peer::turn = [&] {
+    io.restart();
+    io.poll();
+    link.flush();
+  };
+  const auto say = [](const char* what) { std::printf("# %s\n", what); };
+  const auto heard = [](Peer& peer) { std::printf("> %s\n", peer.line().c_str()); };
+  const auto caught_up = [&](int times) { Peer::until("link", [&] { return told.caught == times; }); };
+  const auto notices = [&](int more) -> std::function<void()> {
+    const int all = told.heard + more;
+    return [&told, all] { Peer::until("notices", [&] { return told.heard >= all; }); };
+  };
+  const std::string run = R"("uid":"9b1f03aa5c7e2d41")";
+
+  say("the machine comes up late: nothing but CONNECT until then");
+  Peer at = machine.next();
+  heard(at);
+  link.ask_gauges(); // too early: the answer to CONNECT has not come
+  std::printf("  up: %d\n", link.up());
+  at.say("{\"action\":\"BANNER\",\"code\":\"starting\",\"wall_ms\":250}\n");
+  heard(at);
+  at.say("{\"action\":\"TOPS\",\"echo\":\"1\",\"meters\":[0.5,3,0.4,120]}\n");
+  caught_up(1);
+
+  say("commands");
+  link.run(OpId{0x9b1f03aa5c7e2d41}, "look\"", std::string("\0\xff body", 7));
+  link.resume(OpId{1}, "ok");
+  link.ask_gauges();
+  link.ask_gauges(); // one question at a time
+  for (int i = 0; i < 3; ++i) heard(at);
+
+  say("notices, in pieces");
+  auto all = notices(8);
+  const std::string some =
+      "{\"action\":\"AWAIT\",\"pos\":1," + run + ",\"content\":\"Y2FsbA==\"}\n" +
+      "{\"action\":\"TRACE\",\"pos\":2,\"code\":\"nothing\"}\n" + "{\"action\":\"VALUE\",\"pos\":3," + run +
+      ",\"code\":\"fine\",\"wall_ms\":12.5,\"content\":\"cmVzdWx0\"}\n" + "{\"action\":\"VALUE\",\"pos\":4," +
+      run + ",\"code\":\"fault\",\"wall_ms\":1}\n" + "{\"action\":\"VALUE\",\"pos\":5," + run +
+      ",\"code\":\"broken_off\"}\n" + "{\"action\":\"VALUE\",\"pos\":6," + run + ",\"code\":\"late\"}\n" +
+      "{\"action\":\"ERROR\",\"code\":\"APPLY\"," + run + "}\n" + "{\"action\":\"VALUE\",\"pos\":7," + run +
+      ",\"code\":\"fine\",\"content\":\"\"}\n" +
+      "{\"action\":\"TOPS\",\"echo\":\"2\",\"meters\":[0.75,3,0.4,120]}\n";
+  for (const char c : some) at.say(std::string(1, c));
+  all();
+
+  say("seen already, of no meaning, unknown, or no notice at all: passed over");
+  all = notices(1);
+  at.say("{\"action\":\"VALUE\",\"pos\":3," + run + ",\"code\":\"fine\",\"content\":\"\"}\n" +
+         "{\"action\":\"NEWS\",\"pos\":8}\nhello\n[1]\n{}\n\n{\"action\":\"ERROR\",\"uid\":\"x\"}\n" +
+         "{\"action\":\"TOPS\",\"meters\":[\"x\"]}\n{\"action\":\"AWAIT\",\"pos\":9," + run +
+         ",\"content\":\"eA==\"}\n");
+  all();
+
+  say("the link breaks: made anew from the last notice; what is asked meanwhile is not sent");
+  link.ask_gauges();
+  heard(at);
+  at.reset();
+  Peer::until("break", [&] { return !link.up(); });
+  link.ask_gauges();
+  Peer again = machine.next();
+  heard(again);
+  all = notices(2);
+  again.say(
+      "{\"action\":\"BANNER\",\"code\":\"starting\",\"wall_ms\":900}\n{\"action\":\"AWAIT\",\"pos\":9," +
+      run + ",\"content\":\"eA==\"}\n{\"action\":\"AWAIT\",\"pos\":10," + run + ",\"content\":\"eQ==\"}\n");
+  heard(again);
+  again.say("{\"action\":\"TOPS\",\"echo\":\"4\",\"meters\":[1]}\n");
+  caught_up(2);
+  all();
+
+  say("notices missing, or one that can't be read: asked for once more, then passed over");
+  const auto link_again = [&](const char* first, int times) {
+    Peer next = machine.next();
+    heard(next);
+    next.say("{\"action\":\"BANNER\",\"code\":\"starting\",\"wall_ms\":950}\n" + std::string(first));
+    std::printf("> %s\n", next.line().c_str());
+    next.say("{\"action\":\"TOPS\",\"echo\":\"" + std::to_string(link.next_question() - 1) +
+             "\",\"meters\":[1]}\n");
+    caught_up(times);
+    return next;
+  };
+  const std::string thirteen = "{\"action\":\"AWAIT\",\"pos\":13," + run + ",\"content\":\"eg==\"}\n";
+  again.say(thirteen);
+  Peer third = link_again(thirteen.c_str(), 3);
+  const std::string spoilt = "{\"action\":\"AWAIT\",\"pos\":14," + run + ",\"content\":\"e?==\"}\n";
+  third.say(spoilt);
+  Peer fourth = link_again(spoilt.c_str(), 4);
+  const std::string no_result =
+      "{\"action\":\"VALUE\",\"pos\":15," + run + ",\"code\":\"fine\",\"content\":7}\n";
+  fourth.say(no_result);
+  Peer fifth = link_again(no_result.c_str(), 5);
+
+  say("a line without end: the link is made anew");
+  fifth.say(std::string(70'000, 'x'));
+  Peer sixth = machine.next();
+  heard(sixth);
+}
--- /dev/null
+++ b/tests/records.cpp
@@ -0,0 +1,129 @@
+#include "records.hpp"
+#include "scene.hpp"
+
+#include <asio/io_context.hpp>
+
+struct Told final : Records::Taker {
+  int over = 0;
+  void call_over(OpId id, Outcome outcome, std::string reply) override {
+    static const char* names[] = {"done",        "failed", "shed",   "timed out",
+                                  "unreachable", "cut",    "halted", "moot"};
+    std::printf("  call of %llx over: %s %s\n", static_cast<unsigned long long>(id.raw),
+                names[static_cast<int>(outcome)], reply.c_str());
+    ++over;
+  }
+};
+
+int main() {
+  asio::io_context io;
+  Told told;
+  Records records(io, Peer::at(5432), 2, told);
+  records.idle_close(1000 * ms);
+  Nanos now = 1000 * ms;
+  Peer::turn = [&] {
+    io.restart();
+    io.poll();
+    records.sweep(now);
+  };
+  const auto say = [](const char* what) { std::printf("# %s\n", what); };
+  const auto heard = [](Peer& peer) { std::printf("> %s\n", peer.request({"Op-"}).c_str()); };
+  const auto over = [&]() -> std::function<void()> {
+    const int before = told.over;
+    return [&told, before] { Peer::until("end", [&] { return told.over > before; }); };
+  };
+  const auto reply = [](const std::string& status, const std::string& body, const std::string& more = "") {
+    return "HTTP/1.1 " + status + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  unsigned id = 1;
+
+  say("the service is down: refused, which proves that nothing ran");
+  auto ended = over();
+  records.call(OpId{id}, 5000 * ms, "first");
+  ended();
+
+  say("one call after another on one connection, and what each reply means");
+  Peer service = Peer::listening(5432);
+  records.call(OpId{++id}, 250 * ms + 1, "second");
+  Peer at = service.next();
+  heard(at);
+  ended = over();
+  at.say(reply("200 OK", "value"));
+  ended();
+  const std::pair<const char*, const char*> replies[] = {
+      {"503 Busy", "Op-Not-Begun: 1\r\n"}, {"503 Busy", ""}, {"500 Failed", ""}, {"504 Late", ""},
+      {"409 No", "Op-Not-Begun: 1\r\n"},   {"409 No", ""},   {"302 Found", ""}};
+  for (const auto& [status, header] : replies) {
+    records.call(OpId{++id}, 5000 * ms, "x");
+    heard(at);
+    ended = over();
+    at.say(reply(status, "no", header));
+    ended();
+  }
+
+  say("two at once have a connection each; a third finds none free and never leaves");
+  records.call(OpId{20}, 5000 * ms, "a");
+  records.call(OpId{21}, 5000 * ms, "b");
+  ended = over();
+  records.call(OpId{22}, 5000 * ms, "c");
+  ended();
+  heard(at);
+  Peer other = service.next();
+  heard(other);
+
+  say("given up: by closing, without a word; a second call for the same op gives up the first");
+  records.give_up(OpId{20});
+  at.to_end();
+  records.call(OpId{21}, 5000 * ms, "b again");
+  other.to_end();
+  at = service.next();
+  heard(at);
+
+  say("cut off, malformed, too large or reset: how far it got can't be told, and it is not sent again");
+  const std::string spoilt[] = {reply("200 OK", "whole").substr(0, 40), "nonsense\r\n\r\n",
+                                reply("503 Busy", "1", "Op-Not-Begun: 1\r\n").substr(0, 57),
+                                reply("200 OK", std::string(70'000, 'x'))};
+  unsigned next = 21;
+  for (const std::string& bytes : spoilt) {
+    ended = over();
+    at.say(bytes);
+    at.reset();
+    ended();
+    records.call(OpId{++next}, 5000 * ms, "again");
+    at = service.next();
+    heard(at);
+  }
+  ended = over();
+  at.reset();
+  ended();
+
+  say("out of time: given up");
+  ended = over();
+  records.call(OpId{++next}, 1, "brief");
+  ended();
+
+  say("idle connections are closed early, and one that the other side closed is not used again");
+  records.call(OpId{40}, 5000 * ms, "x");
+  at = service.next(); // of the brief call, perhaps
+  if (!at.ended()) Peer::until("request or end", [&] { return at.ended() || at.has(1); });
+  if (at.ended()) at = service.next();
+  heard(at);
+  ended = over();
+  at.say(reply("200 OK", "kept"));
+  ended();
+  std::printf("  connections %zu\n", records.connections());
+  now += 1000 * ms;
+  at.to_end();
+  std::printf("  connections %zu\n", records.connections());
+  records.call(OpId{41}, 5000 * ms, "x");
+  at = service.next();
+  heard(at);
+  ended = over();
+  at.say(reply("200 OK", "kept"));
+  ended();
+  at.reset();
+  Peer::until("loss", [&] { return records.connections() == 0; });
+  records.call(OpId{42}, 5000 * ms, "x");
+  at = service.next();
+  heard(at);
+}
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -1,14 +1,25 @@
-// Drives one Choice alone and prints its decisions, a line each, for comparison with a kept trace.
+// What tests print for comparison with a kept trace: the decisions of one Choice that a Scene drives alone,
+// and what a Peer, an end of a connection that the test plays itself, hears from the code for sockets.
 #pragma once
 
 #include "choice.hpp"
+#include "frames.hpp"
 
+#include <arpa/inet.h>
 #include <array>
+#include <chrono>
 #include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <functional>
 #include <initializer_list>
 #include <memory>
 #include <set>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
 
 using namespace cometshift;
 
@@ -163,3 +174,179 @@
   }
   void drain(Nanos left) { choice_->drain(now_, left * ms); }
 };
+
+class Peer {
+  int fd_;
+  std::string heard_;
+  bool ended_ = false;
+
+  static sockaddr_in place(int port) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
+    at.sin_addr.s_addr = htonl(0x7f000000u | (0x10000u + static_cast<unsigned>(getpid())) % 0xfffffeu);
+    return at;
+  }
+  static int made(int fd) {
+    if (fd < 0) std::perror("socket"), std::exit(2);
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    return fd;
+  }
+
+ public:
+  inline static std::function<void()> turn = [] {}; // lets what is tested do what is ready
+
+  explicit Peer(int fd) : fd_(made(fd)) {}
+  Peer(Peer&& other)
+      : fd_(std::exchange(other.fd_, -1)), heard_(std::move(other.heard_)), ended_(other.ended_) {}
+  Peer& operator=(Peer&& other) {
+    std::swap(fd_, other.fd_), std::swap(heard_, other.heard_), std::swap(ended_, other.ended_);
+    return *this;
+  }
+  ~Peer() { close(fd_); }
+
+  // Every test process has a loopback address of its own.
+  static std::string at(int port) {
+    char text[INET_ADDRSTRLEN];
+    const sockaddr_in there = place(port);
+    return std::string(inet_ntop(AF_INET, &there.sin_addr, text, sizeof text)) + ":" + std::to_string(port);
+  }
+  static Peer listening(int port) {
+    const sockaddr_in there = place(port);
+    Peer peer(socket(AF_INET, SOCK_STREAM, 0));
+    const int on = 1;
+    setsockopt(peer.fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(peer.fd_, reinterpret_cast<const sockaddr*>(&there), sizeof there) || listen(peer.fd_, 16))
+      std::perror("listen"), std::exit(2);
+    return peer;
+  }
+  static Peer to(int port) {
+    const sockaddr_in there = place(port);
+    Peer peer(socket(AF_INET, SOCK_STREAM, 0));
+    connect(peer.fd_, reinterpret_cast<const sockaddr*>(&there), sizeof there);
+    turn();
+    return peer;
+  }
+  Peer next() { // who connects to it
+    int fd = -1;
+    until("a connection", [&] { return (fd = accept(fd_, nullptr, nullptr)) >= 0; });
+    return Peer(fd);
+  }
+  // Lets time pass in turns until something is so; a test fails where it never is.
+  template <class So>
+  static void until(const char* what, So so) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    for (; !so(); turn())
+      if (std::chrono::steady_clock::now() > end) std::printf("no %s came\n", what), std::exit(1);
+  }
+  void say(std::string_view bytes) {
+    for (ssize_t n; !bytes.empty(); turn())
+      if ((n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL)) > 0)
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+      else if (n < 0 && errno != EAGAIN && errno != ENOTCONN)
+        return;
+    turn();
+  }
+  void reset() {
+    const linger at_once{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close(std::exchange(fd_, -1));
+    turn();
+  }
+  void stop_sending() { shutdown(fd_, SHUT_WR), turn(); }
+  bool refused() const { // its connection was
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == ECONNREFUSED;
+  }
+  void hear() {
+    char bytes[4096];
+    const ssize_t n = recv(fd_, bytes, sizeof bytes, 0);
+    if (n > 0) heard_.append(bytes, static_cast<std::size_t>(n));
+    ended_ = ended_ || n == 0 || (n < 0 && errno == ECONNRESET);
+  }
+  bool ended() {
+    hear();
+    return ended_;
+  }
+  void to_end() {
+    until("end", [this] { return ended(); });
+  }
+  bool has(std::size_t size) { return hear(), heard_.size() >= size; }
+  std::string take(std::size_t size) {
+    until("bytes", [&] { return has(size); });
+    const std::string taken = heard_.substr(0, size);
+    heard_.erase(0, size);
+    return taken;
+  }
+  std::string line() { // to the end of a line, which is left out
+    std::size_t end = 0;
+    until("line", [&] { return hear(), (end = heard_.find('\n')) != std::string::npos; });
+    std::string taken = take(end + 1);
+    taken.erase(taken.find_last_not_of("\r\n") + 1);
+    return taken;
+  }
+  // An HTTP request: its first line, the headers named, and its body.
+  std::string request(std::initializer_list<const char*> headers) {
+    std::string said = line();
+    std::size_t size = 0;
+    for (std::string head = line(); !head.empty(); head = line()) {
+      if (head.starts_with("Content-Length: ")) size = std::stoul(head.substr(16));
+      for (const char* name : headers)
+        if (head.starts_with(name)) said += " | " + head;
+    }
+    return said + " | " + take(size);
+  }
+  // The next frame, in words.
+  std::string frame() {
+    const std::string length = take(4);
+    const std::string rest = take(frames::number_at(length.data(), 4));
+    const int type = rest[0];
+    std::string said = type == frames::answer    ? "answer"
+                       : type == frames::checked ? "checked"
+                       : type == frames::no_more ? "no more"
+                                                 : "type " + std::to_string(type);
+    said += " on " + std::to_string(frames::number_at(rest.data() + 1, 4));
+    if (rest.size() == 5) return said;
+    said += ": code " + std::to_string(static_cast<int>(rest[5]));
+    std::string_view body;
+    const auto field = [&](std::string_view name, std::string_view value) {
+      if (name != "later") said.append(", ").append(name).append(" ").append(value);
+    };
+    if (!frames::fields(std::string_view(rest).substr(6), field, body)) said += ", unreadable fields";
+    if (body.size() > 40) return said + ", " + std::to_string(body.size()) + " bytes";
+    return body.empty() ? said : said.append(", ").append(body);
+  }
+};
+
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+// A frame as balancers send them; of two fields of one name the later counts, and an empty one is left out.
+inline std::string frame_of(int type, std::uint32_t stream, const Fields& fields,
+                            std::string_view body = {}) {
+  const auto put = [](std::string& out, std::size_t value, int bytes) {
+    for (; bytes > 0; --bytes, value >>= 8) out += static_cast<char>(value & 0xff);
+  };
+  std::string payload(1, static_cast<char>(fields.size()));
+  for (const auto& [name, value] : fields) {
+    put(payload, name.size(), 1);
+    payload += name;
+    put(payload, value.size(), 2);
+    payload += value;
+  }
+  std::string out;
+  put(out, 5 + payload.size() + body.size(), 4);
+  put(out, static_cast<std::size_t>(type), 1);
+  put(out, stream, 4);
+  return out.append(payload).append(body);
+}
+inline std::string ask(std::uint32_t stream, const std::string& txn, const Fields& other = {},
+                       std::string_view body = "body") {
+  Fields fields{{"verb", "look"}, {"txn", txn},      {"door", "1000"}, {"lb", "4"},
+                {"team", "acme"}, {"limit", "4000"}, {"ram", "24.5"},  {"standing", "0.625"}};
+  for (const auto& [name, value] : other) {
+    std::erase_if(fields, [&](const auto& field) { return field.first == name; });
+    if (!value.empty()) fields.emplace_back(name, value);
+  }
+  return frame_of(frames::ask, stream, fields, body);
+}
