--- a/node/front.cpp
+++ b/node/front.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t gathered = 32;    // pieces in one write
 constexpr std::size_t piece = 4 * 1024; // smaller ones are put together
 constexpr int reads_a_turn = 4;         // of one connection: the others get their turn
-constexpr auto accept_rest = std::chrono::milliseconds(20); // after a failed accept, as without descriptors
 constexpr Nanos ms = 1'000'000;
 constexpr std::int64_t latest_time = std::int64_t{1} << 42; // ms: keeps times in whole nanoseconds
 
@@ -80,7 +79,7 @@
       return accept();
     // Against spinning where no descriptor is free: what waits is accepted when one is.
     note("accept", "%s", error.message().c_str());
-    retry_.expires_after(accept_rest);
+    retry_.expires_after(std::chrono::nanoseconds(accept_again_));
     retry_.async_wait([this](asio::error_code stopped) {
       if (!stopped) accept();
     });
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -56,6 +56,7 @@
   void idle_close(Nanos after) { idle_ = after; }
   void silent_close(Nanos after) { silent_ = after; }
   void leave_to_end(Nanos time) { leave_to_end_ = time; }
+  void accept_again(Nanos rest) { accept_again_ = rest; }
   void close_doors();
   bool closed() const { return doors_closed_ && connections_.empty(); }
   void flush(Nanos now); // one gathered write for each connection with something to say
@@ -121,6 +122,7 @@
   Nanos idle_ = 0; // 0: connections may stay silent
   Nanos silent_ = 0;
   Nanos leave_to_end_ = 0;
+  Nanos accept_again_ = 0;
   double feedback_ = -1;
   bool good_ = true;
   bool accepting_ = false;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -24,8 +24,8 @@
 constexpr std::size_t calls_part = 8;    // of the descriptors, for calls
 constexpr std::size_t own_part = 8;      // of the descriptors, for the listener, the links, files and room
 
-constexpr Nanos key_slack = 100 * ms; // time limits on sockets are 50 ms longer, and clocks differ a little
-constexpr Nanos stray_rest = 2 * second; // after its answer an op is known to be over by the interpreter too
+constexpr Nanos key_slack = 100 * ms; // the protocol's time limits are 50 ms longer, and its times whole ms
+constexpr Nanos most_lead = 5 * ms;   // gauges asked for longer before a wake-up would be none of its moment
 constexpr Nanos longest_wait = 3600 * second; // of an op before it was read: older is a wrong clock
 
 Front::Names names_in(const Given& given) {
@@ -59,7 +59,7 @@
       front_(io_, text(given, "listen", ""), part_of(given, "sockets", own_part - 2, own_part),
              part_of(given, "memory_mb", mb, answers_part), names_in(given), *this),
       interpreter_(io_, text(given, "vm", ""), *this),
-      records_(io_, text(given, "records", ""), part_of(given, "sockets", 1, calls_part), *this),
+      records_(io_, text(given, "records", ""), part_of(given, "sockets", 1, calls_part)),
       announce_(io_, text(given, "announce", ""), text(given, "name", "")) {
   const Front::Names names = names_in(given);
   op_types_ = names.op_types;
@@ -119,6 +119,8 @@
 
 void Host::turn() {
   due();
+  if (doors_closed_)
+    front_.close_doors(); // not within the module's order: what still comes in is handed to it
   finish_reused();
   interpreter_.flush();
   front_.flush(now());
@@ -135,7 +137,7 @@
   }
   // The gauges come with the wake-up if they are asked for a round trip before it; it does not wait for them.
   if (!wakes_.empty() && interpreter_.up() && asked_for_ != wakes_.top().first &&
-      wakes_.top().first - now() <= 2 * round_trip_ + ms) {
+      wakes_.top().first - now() <= lead_) {
     asked_for_ = wakes_.top().first;
     asked_at_ = now();
     interpreter_.ask_gauges();
@@ -148,7 +150,7 @@
 void Host::arm() {
   if (wakes_.empty()) return;
   Nanos next = wakes_.top().first;
-  if (asked_for_ != next && interpreter_.up()) next -= 2 * round_trip_ + ms;
+  if (asked_for_ != next && interpreter_.up()) next -= lead_;
   if (next == armed_) return;
   armed_ = next;
   timer_.expires_after(std::chrono::nanoseconds(std::max<Nanos>(0, next - now())));
@@ -233,8 +235,8 @@
   const auto op_at = at->second.find(line.stream);
   if (op_at == at->second.end()) return;
   const OpId id = op_at->second;
-  answered(id, ops_.at(id.raw));
-  choice_->op_gone(now(), id);
+  choice_->op_gone(now(), id); // first: what it orders for this op still finds it
+  if (Op* op = open(id)) answered(id, *op);
 }
 
 void Host::nack(OpId id, bool no_retry, Nanos stay_away) {
@@ -260,7 +262,7 @@
   op.run = Op::Run::wanted;
   op.heard = op.at_call = false;
   op.reply.reset();
-  if (Kept* entry = held_by(id)) {
+  if (Kept* entry = entry_of(id); entry && entry->holder == id) {
     entry->ran = id;
     entry->state = Kept::State::running;
   }
@@ -306,10 +308,10 @@
 // it is started again. That begins nothing, the op being over, but tells how the run stands if it is over
 // too.
 void Host::settle_strays() {
-  if (!interpreter_.up() || now() - looked_at_ < stray_rest) return;
+  if (!interpreter_.up() || now() - looked_at_ < stray_rest_) return;
   looked_at_ = now();
   for (auto& [raw, op] : ops_)
-    if (op.run == Op::Run::sent && op.answered && now() - op.answered_at >= stray_rest)
+    if (op.run == Op::Run::sent && op.answered && now() - op.answered_at >= stray_rest_)
       send_run(OpId{raw}, op);
 }
 
@@ -321,7 +323,7 @@
   op.run = Op::Run::over;
   op.at_call = false;
   records_.give_up(id);
-  if (Kept* entry = held_by(id); entry && entry->ran == id)
+  if (Kept* entry = entry_of(id); entry && entry->ran == id)
     settle(*entry, outcome == Outcome::done ? Kept::State::done : Kept::State::failed,
            outcome == Outcome::done ? result : std::string());
   if (!op.answered && outcome != Outcome::halted) {
@@ -346,7 +348,7 @@
 
 void Host::gauges(std::span<const double> values) {
   if (values.size() == gauges_.size()) std::copy(values.begin(), values.end(), gauges_.begin());
-  if (asked_at_ > 0) round_trip_ = std::min(now() - asked_at_, 2 * ms);
+  if (asked_at_ > 0) lead_ = std::min(2 * (now() - asked_at_) + ms, most_lead);
 }
 
 // ---- calls
@@ -363,11 +365,13 @@
 void Host::call(OpId id, Nanos time_out) {
   const auto at = ops_.find(id.raw);
   if (at == ops_.end()) return;
-  at->second.called_at = now();
-  records_.call(id, time_out > 0 ? time_out : op_timeouts_[at->second.type.raw], at->second.call);
+  records_.call(id, time_out > 0 ? time_out : op_timeouts_[at->second.type.raw], at->second.call,
+                [this, id, begun = now()](Outcome outcome, std::string reply) {
+                  call_over(id, begun, outcome, std::move(reply));
+                });
 }
 
-void Host::call_over(OpId id, Outcome outcome, std::string reply) {
+void Host::call_over(OpId id, Nanos begun, Outcome outcome, std::string reply) {
   const auto at = ops_.find(id.raw);
   if (at == ops_.end()) return;
   Op& op = at->second;
@@ -379,22 +383,24 @@
       op.reply = std::move(reply);
     }
   }
-  choice_->call_ended(now(), id, outcome, now() - op.called_at);
+  choice_->call_ended(now(), id, outcome, now() - begun);
 }
 
 // ---- keys, repeats and results
 
-Host::Kept* Host::held_by(OpId id) {
+Host::Kept* Host::entry_of(OpId id) {
   const auto op = ops_.find(id.raw);
   if (op == ops_.end() || op->second.key.empty()) return nullptr;
   const auto at = keys_.find(op->second.key);
-  return at == keys_.end() || at->second.holder != id ? nullptr : &at->second;
+  return at == keys_.end() ? nullptr : &at->second;
 }
 
 OpId Host::earlier_of(const std::string& key, bool keyed, Nanos door) {
   const auto at = keys_.find(key);
   if (at == keys_.end()) return no_op;
   const Kept& entry = at->second;
+  // A holder that is gone without a run leaves nothing to repeat.
+  if (entry.state == Kept::State::held && !ops_.contains(entry.holder.raw)) return no_op;
   if (keyed) return door <= entry.until + key_slack ? entry.holder : no_op;
   if (now() > entry.until || entry.state == Kept::State::failed) return no_op;
   return entry.state == Kept::State::done && now() - entry.ended_at > fresh_for_ ? no_op : entry.holder;
@@ -403,11 +409,13 @@
 void Host::keep_key(OpId id, Nanos lifetime) {
   const auto op = ops_.find(id.raw);
   if (op == ops_.end() || op->second.key.empty()) return;
-  Kept& entry = keys_[op->second.key];
+  const auto [at, fresh] = keys_.try_emplace(op->second.key);
+  Kept& entry = at->second;
+  if (!fresh) key_ends_.erase(entry.end);
   if (entry.state == Kept::State::done || entry.state == Kept::State::failed) drop_result(entry);
   entry.holder = id;
   entry.until = now() + lifetime;
-  key_ends_.emplace(entry.until + key_slack + longest_, op->second.key);
+  entry.end = key_ends_.emplace(entry.until + key_slack + longest_, at->first);
 }
 
 void Host::drop_result(Kept& entry) {
@@ -419,10 +427,18 @@
 }
 
 void Host::forget_key(OpId id) {
-  Kept* entry = held_by(id);
-  if (!entry) return;
+  Kept* entry = entry_of(id);
+  if (!entry || entry->holder != id) return;
   settle(*entry, Kept::State::failed, {});
-  keys_.erase(ops_.at(id.raw).key);
+  erase(ops_.at(id.raw).key);
+}
+
+// The one place where an entry is given back, with its result.
+void Host::erase(const std::string& key) {
+  const auto at = keys_.find(key);
+  result_bytes_ -= at->second.result.size();
+  key_ends_.erase(at->second.end);
+  keys_.erase(at);
 }
 
 void Host::settle(Kept& entry, Kept::State state, std::string result) {
@@ -475,17 +491,14 @@
 
 void Host::forget_old() {
   while (!key_ends_.empty() && key_ends_.begin()->first <= now()) {
-    const std::string key = std::move(key_ends_.begin()->second);
-    key_ends_.erase(key_ends_.begin());
-    const auto at = keys_.find(key);
-    if (at == keys_.end()) continue;
-    const Nanos end = at->second.until + key_slack + longest_;
-    if (end > now() || at->second.state == Kept::State::running || !at->second.waiting.empty()) {
-      key_ends_.emplace(std::max(end, now() + longest_), key);
+    const std::string key = key_ends_.begin()->second;
+    Kept& entry = keys_.at(key);
+    if (entry.state != Kept::State::running && entry.waiting.empty()) {
+      erase(key);
       continue;
     }
-    result_bytes_ -= at->second.result.size();
-    keys_.erase(at);
+    key_ends_.erase(entry.end); // its run goes on beyond its time: it is looked at again
+    entry.end = key_ends_.emplace(now() + longest_, key);
   }
 }
 
@@ -516,12 +529,14 @@
     return front_.leave_to_end(time);
   case Pace::silent_close:
     return front_.silent_close(time);
+  case Pace::accept_again:
+    return front_.accept_again(time);
+  case Pace::settle_stray:
+    stray_rest_ = time;
+    return;
   }
 }
 
-void Host::close_doors() {
-  doors_closed_ = true;
-  front_.close_doors();
-}
+void Host::close_doors() { doors_closed_ = true; }
 
 } // namespace cometshift
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -20,7 +20,7 @@
 
 namespace cometshift {
 
-class Host final : Server, Front::Taker, Interpreter::Taker, Records::Taker {
+class Host final : Server, Front::Taker, Interpreter::Taker {
  public:
   // As read by configuration.hpp.
   explicit Host(const Given& given);
@@ -37,7 +37,8 @@
     Nanos ended_at = 0; // of the run
     enum class State { held, running, done, failed } state = State::held;
     std::string result;
-    std::vector<OpId> waiting; // ops to be answered with the result
+    std::vector<OpId> waiting;                       // ops to be answered with the result
+    std::multimap<Nanos, std::string>::iterator end; // when to look whether this is over
   };
   struct Op {
     Line line;
@@ -54,7 +55,6 @@
     bool at_call = false;
     std::string call;                 // what the run wants to ask below
     std::optional<std::string> reply; // to its call, kept while the link is down
-    Nanos called_at = 0;
     Nanos answered_at = 0;
   };
   using Ops = std::unordered_map<std::uint64_t, Op>;
@@ -88,21 +88,22 @@
   void call_wanted(OpId id, std::string body) override;
   void gauges(std::span<const double> values) override;
   void not_carried_out(OpId id, std::string_view command) override;
-  void call_over(OpId id, Outcome outcome, std::string reply) override;
 
   Nanos now();
   void turn();
   void arm();
   void due();
   bool over() const;
+  void call_over(OpId id, Nanos begun, Outcome outcome, std::string reply);
   void send_run(OpId id, Op& op);
   Op* open(OpId id); // null if it is answered already
   void answered(OpId id, Op& op);
-  void release(OpId id);  // forgets an op of which nothing is left to do
-  Kept* held_by(OpId id); // the entry that this op holds
+  void release(OpId id);   // forgets an op of which nothing is left to do
+  Kept* entry_of(OpId id); // under its key, whoever holds it; null if there is none
   OpId earlier_of(const std::string& key, bool keyed, Nanos door);
   void settle(Kept& entry, Kept::State state, std::string result);
   void drop_result(Kept& entry);
+  void erase(const std::string& key);
   void finish_reused();
   void forget_old();
   void settle_strays();
@@ -121,7 +122,7 @@
   Ops ops_;
   std::map<std::uint64_t, std::map<std::uint32_t, OpId>> lines_; // of the ops not answered, by connection
   std::unordered_map<std::string, Kept> keys_;
-  std::multimap<Nanos, std::string> key_ends_; // when to look whether an entry is over
+  std::multimap<Nanos, std::string> key_ends_; // one for each of them
   std::size_t result_bytes_ = 0;
   std::size_t most_results_;
   std::size_t most_ops_;
@@ -132,8 +133,9 @@
   Nanos armed_ = 0;
   std::vector<double> gauges_;
   Nanos asked_at_ = 0;
-  Nanos asked_for_ = 0; // the wake-up that the gauges were asked for
-  Nanos round_trip_ = 0;
+  Nanos asked_for_ = 0;    // the wake-up that the gauges were asked for
+  Nanos lead_ = 1'000'000; // of that question before the wake-up: a round trip and room
+  Nanos stray_rest_ = 0;
   Nanos looked_at_ = 0; // for starts that came to nothing
   Nanos now_ = 0;
   Nanos shift_ = 0; // of our clock against the system's, which may be set back
--- a/node/records.cpp
+++ b/node/records.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 namespace cometshift {
 
@@ -16,8 +17,8 @@
 constexpr const char* not_begun = "Op-Not-Begun";
 } // namespace
 
-Records::Records(asio::io_context& io, const std::string& address, std::size_t most_connections, Taker& taker)
-    : io_(io), address_(endpoint_of(address)), most_connections_(most_connections), taker_(taker) {}
+Records::Records(asio::io_context& io, const std::string& address, std::size_t most_connections)
+    : io_(io), address_(endpoint_of(address)), most_connections_(most_connections) {}
 
 // A handler that does nothing once its connection, or its call, is over.
 template <class Step>
@@ -28,12 +29,12 @@
   };
 }
 
-void Records::call(OpId id, Nanos time_out, const std::string& body) {
+void Records::call(OpId id, Nanos time_out, const std::string& body, Then then) {
   give_up(id);
   const bool fresh = idle_ones_.empty();
   if (fresh && connections_.size() >= most_connections_) {
     // Against using up the descriptors: this call never leaves.
-    asio::post(io_, [this, id] { taker_.call_over(id, Outcome::unreachable, {}); });
+    asio::post(io_, [then] { then(Outcome::unreachable, {}); });
     return;
   }
   if (fresh) {
@@ -44,6 +45,7 @@
   idle_ones_.pop_back();
   ++c.turn;
   c.op = id;
+  c.then = std::move(then);
   calls_[id] = c.id;
   c.reply = HttpReply(not_begun, most_reply);
   c.body = body;
@@ -113,6 +115,7 @@
 // The one place where a call ends, and where its connection is kept for another or given back.
 void Records::over(Connection& c, Outcome outcome, bool keep) {
   const OpId op = c.op;
+  const Then then = std::exchange(c.then, nullptr);
   std::string reply = outcome == Outcome::done ? std::move(c.reply.body()) : std::string();
   ++c.turn;
   c.op = no_op;
@@ -131,7 +134,7 @@
     idle_ones_.erase(std::remove(idle_ones_.begin(), idle_ones_.end(), c.id), idle_ones_.end());
     connections_.erase(c.id);
   }
-  if (op != no_op) taker_.call_over(op, outcome, std::move(reply));
+  if (op != no_op) then(outcome, std::move(reply));
 }
 
 void Records::give_up(OpId id) {
--- a/node/records.hpp
+++ b/node/records.hpp
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,16 +20,12 @@
 
 class Records {
  public:
-  class Taker {
-   public:
-    virtual ~Taker() = default;
-    virtual void call_over(OpId id, Outcome outcome, std::string reply) = 0;
-  };
+  using Then = std::function<void(Outcome, std::string reply)>; // what comes next, handed the end of a call
 
-  Records(asio::io_context& io, const std::string& address, std::size_t most_connections, Taker& taker);
+  Records(asio::io_context& io, const std::string& address, std::size_t most_connections);
 
-  // One for each op at a time: another gives up the first. Ends in one `call_over`, never within this call.
-  void call(OpId id, Nanos time_out, const std::string& body);
+  // One for each op at a time: another gives up the first. `then` is called once, never within this call.
+  void call(OpId id, Nanos time_out, const std::string& body, Then then);
   void give_up(OpId id); // without a word; the connection is closed
   void idle_close(Nanos after) { idle_ = after; }
   void sweep(Nanos now);
@@ -40,7 +37,8 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     std::uint64_t id;
-    OpId op;                // no_op: idle
+    OpId op; // no_op: idle
+    Then then;
     std::uint64_t turn = 0; // counts calls: a timer of an earlier one does nothing
     Nanos idle_since = 0;
     std::string head, body;
@@ -58,7 +56,6 @@
   asio::io_context& io_;
   asio::ip::tcp::endpoint address_;
   std::size_t most_connections_;
-  Taker& taker_;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::map<OpId, std::uint64_t> calls_; // the connection of each
   std::vector<std::uint64_t> idle_ones_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -90,6 +90,10 @@
 constexpr Nanos idle_call_part = 4;    // of the time after which the other side closes: never a race with it
 constexpr Nanos link_rest = 20 * ms;   // before the link is made anew: no load, short against a run
 constexpr Nanos end_rest = 500 * ms;   // for callers to close what takes no new op: some round trips
+constexpr Nanos accept_rest =
+    20 * ms; // after a failed accept, as without descriptors: no spinning, no long wait
+constexpr Nanos stray_rest =
+    2 * second;                   // by then both sides know that an op is over, and most runs have ended
 constexpr Nanos silent_times = 4; // the idle time after which callers close: one silent so long has no caller
 
 template <class T>
@@ -168,6 +172,8 @@
   server_.pace(Pace::call_idle, span(given, "call_idle_ns", 0) / idle_call_part);
   server_.pace(Pace::leave_to_end, end_rest);
   server_.pace(Pace::silent_close, silent_times * idle_);
+  server_.pace(Pace::accept_again, accept_rest);
+  server_.pace(Pace::settle_stray, stray_rest);
   server_.health(true, true);
   server_.wake_at(now + tick, WakeId{1});
 }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -22,6 +22,8 @@
   call_idle,    // a connection for calls may stand idle
   leave_to_end, // between telling a caller that its connection takes no new op and closing it
   silent_close, // a caller's connection may be silent, however it was left
+  accept_again, // after a connection could not be accepted
+  settle_stray, // from an op's answer to asking how its run stands, if nothing was heard
 };
 
 // What a server can be told to do.
--- a/tests/host.cpp
+++ b/tests/host.cpp
@@ -151,6 +151,19 @@
     w.book(1, "ccccccccccccccc1", "m3");
     answered();
 
+    say("a reset takes a held keyed op with it: it never ran, so its repeat is run");
+    w.ask(2, "ddddddddddddddd1"), commanded();
+    w.ask(3, "ddddddddddddddd2"), commanded();
+    w.book(4, "ddddddddddddddd3", "m4");
+    w.balancer.reset();
+    w.balancer = Peer::to(5050);
+    w.book(1, "ddddddddddddddd4", "m4");
+    w.notice(10, "VALUE", "ddddddddddddddd1", fine);
+    commanded();
+    w.notice(11, "VALUE", "ddddddddddddddd2", fine);
+    w.notice(12, "VALUE", "ddddddddddddddd4", fine);
+    answered();
+
     say("told to leave: the list hears of it, checks turn bad, ops are still served; then no more, and the "
         "end");
     w.host->stop();
@@ -169,7 +182,7 @@
     w.ask(3, "ccccccccccccccc3");
     answered();
     std::printf("  over: %d\n", w.over);
-    w.notice(10, "VALUE", "ccccccccccccccc2", fine);
+    w.notice(13, "VALUE", "ccccccccccccccc2", fine);
     answered();
     w.balancer.to_end();
     Peer::until("end", [&] { return w.over; });
--- a/tests/records.cpp
+++ b/tests/records.cpp
@@ -3,21 +3,10 @@
 
 #include <asio/io_context.hpp>
 
-struct Told final : Records::Taker {
-  int over = 0;
-  void call_over(OpId id, Outcome outcome, std::string reply) override {
-    static const char* names[] = {"done",        "failed", "shed",   "timed out",
-                                  "unreachable", "cut",    "halted", "moot"};
-    std::printf("  call of %llx over: %s %s\n", static_cast<unsigned long long>(id.raw),
-                names[static_cast<int>(outcome)], reply.c_str());
-    ++over;
-  }
-};
-
 int main() {
   asio::io_context io;
-  Told told;
-  Records records(io, Peer::at(5432), 2, told);
+  int all_over = 0;
+  Records records(io, Peer::at(5432), 2);
   records.idle_close(1000 * ms);
   Nanos now = 1000 * ms;
   Peer::turn = [&] {
@@ -28,23 +17,31 @@
   const auto say = [](const char* what) { std::printf("# %s\n", what); };
   const auto heard = [](Peer& peer) { std::printf("> %s\n", peer.request({"Op-"}).c_str()); };
   const auto over = [&]() -> std::function<void()> {
-    const int before = told.over;
-    return [&told, before] { Peer::until("end", [&] { return told.over > before; }); };
+    const int before = all_over;
+    return [&all_over, before] { Peer::until("end", [&] { return all_over > before; }); };
   };
   const auto reply = [](const std::string& status, const std::string& body, const std::string& more = "") {
     return "HTTP/1.1 " + status + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
   };
+  const auto call = [&](unsigned op, Nanos time_out, const char* body) {
+    records.call(OpId{op}, time_out, body, [&all_over, op](Outcome outcome, std::string said) {
+      static const char* names[] = {"done",        "failed", "shed",   "timed out",
+                                    "unreachable", "cut",    "halted", "moot"};
+      std::printf("  call of %x over: %s %s\n", op, names[static_cast<int>(outcome)], said.c_str());
+      ++all_over;
+    });
+  };
   unsigned id = 1;
 
   say("the service is down: refused, which proves that nothing ran");
   auto ended = over();
-  records.call(OpId{id}, 5000 * ms, "first");
+  call(id, 5000 * ms, "first");
   ended();
 
   say("one call after another on one connection, and what each reply means");
   Peer service = Peer::listening(5432);
-  records.call(OpId{++id}, 250 * ms + 1, "second");
+  call(++id, 250 * ms + 1, "second");
   Peer at = service.next();
   heard(at);
   ended = over();
@@ -54,7 +51,7 @@
       {"503 Busy", "Op-Not-Begun: 1\r\n"}, {"503 Busy", ""}, {"500 Failed", ""}, {"504 Late", ""},
       {"409 No", "Op-Not-Begun: 1\r\n"},   {"409 No", ""},   {"302 Found", ""}};
   for (const auto& [status, header] : replies) {
-    records.call(OpId{++id}, 5000 * ms, "x");
+    call(++id, 5000 * ms, "x");
     heard(at);
     ended = over();
     at.say(reply(status, "no", header));
@@ -62,10 +59,10 @@
   }
 
   say("two at once have a connection each; a third finds none free and never leaves");
-  records.call(OpId{20}, 5000 * ms, "a");
-  records.call(OpId{21}, 5000 * ms, "b");
+  call(20, 5000 * ms, "a");
+  call(21, 5000 * ms, "b");
   ended = over();
-  records.call(OpId{22}, 5000 * ms, "c");
+  call(22, 5000 * ms, "c");
   ended();
   heard(at);
   Peer other = service.next();
@@ -74,7 +71,7 @@
   say("given up: by closing, without a word; a second call for the same op gives up the first");
   records.give_up(OpId{20});
   at.to_end();
-  records.call(OpId{21}, 5000 * ms, "b again");
+  call(21, 5000 * ms, "b again");
   other.to_end();
   at = service.next();
   heard(at);
@@ -89,7 +86,7 @@
     at.say(bytes);
     at.reset();
     ended();
-    records.call(OpId{++next}, 5000 * ms, "again");
+    call(++next, 5000 * ms, "again");
     at = service.next();
     heard(at);
   }
@@ -99,11 +96,11 @@
 
   say("out of time: given up");
   ended = over();
-  records.call(OpId{++next}, 1, "brief");
+  call(++next, 1, "brief");
   ended();
 
   say("idle connections are closed early, and one that the other side closed is not used again");
-  records.call(OpId{40}, 5000 * ms, "x");
+  call(40, 5000 * ms, "x");
   at = service.next(); // of the brief call, perhaps
   if (!at.ended()) Peer::until("request or end", [&] { return at.ended() || at.has(1); });
   if (at.ended()) at = service.next();
@@ -115,7 +112,7 @@
   now += 1000 * ms;
   at.to_end();
   std::printf("  connections %zu\n", records.connections());
-  records.call(OpId{41}, 5000 * ms, "x");
+  call(41, 5000 * ms, "x");
   at = service.next();
   heard(at);
   ended = over();
@@ -123,7 +120,7 @@
   ended();
   at.reset();
   Peer::until("loss", [&] { return records.connections() == 0; });
-  records.call(OpId{42}, 5000 * ms, "x");
+  call(42, 5000 * ms, "x");
   at = service.next();
   heard(at);
 }
