--- a/node/front.cpp
+++ b/node/front.cpp
@@ -4,8 +4,6 @@
 #include "frames.hpp"
 #include "log.hpp"
 
-#include <asio/write.hpp>
-
 #include <algorithm>
 #include <array>
 #include <span>
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -72,12 +72,6 @@
     longest_ = std::max(longest_, op_timeouts_.back());
   }
   for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g) gauges_.push_back(0);
-  std::signal(SIGPIPE, SIG_IGN);
-  signals_.add(SIGTERM);
-  signals_.add(SIGINT);
-  signals_.async_wait([this](asio::error_code error, int) {
-    if (!error) stop();
-  });
   const auto half = [&](const char* name) { return static_cast<std::uint64_t>(number(given, name, 0)); };
   choice_.reset(new Choice(now(), half("seed_high") << 32 | half("seed_low"), given_, *this));
 }
@@ -95,6 +89,12 @@
 
 // What is ready is handed to the module first; then what it wants done is written, a connection at a time.
 void Host::serve() {
+  std::signal(SIGPIPE, SIG_IGN);
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.async_wait([this](asio::error_code error, int) {
+    if (!error) stop(); // a second signal changes nothing
+  });
   turn();
   while (!over()) {
     now_known_ = false;
@@ -121,10 +121,11 @@
   due();
   if (doors_closed_)
     front_.close_doors(); // not within the module's order: what still comes in is handed to it
-  finish_reused();
+  do {                    // a line that is found lost may free others, and what they want
+    finish_reused();
+    front_.flush(now());
+  } while (!reused_.empty());
   interpreter_.flush();
-  front_.flush(now());
-  finish_reused(); // of ops whose line was lost just now
   now_known_ = false;
   arm();
 }
@@ -139,8 +140,7 @@
   if (!wakes_.empty() && interpreter_.up() && asked_for_ != wakes_.top().first &&
       wakes_.top().first - now() <= lead_) {
     asked_for_ = wakes_.top().first;
-    asked_at_ = now();
-    interpreter_.ask_gauges();
+    if (interpreter_.ask_gauges()) asked_at_ = now();
   }
   records_.sweep(now());
   forget_old();
@@ -165,7 +165,6 @@
   draining_ = true;
   note("drain", "told to leave, %lld ms to go", static_cast<long long>(until_kill_ / ms));
   choice_->drain(now(), until_kill_);
-  signals_.async_wait([](asio::error_code, int) {}); // a second signal changes nothing
 }
 
 // ---- ops
@@ -215,18 +214,18 @@
   op.line = line;
   op.type = type;
   op.body = body;
-  op.door = door;
+  OpId earlier = no_op;
   if (keyed || shared) {
     op.key = std::to_string(type.raw) + (keyed ? "k" : "s");
     op.key += keyed ? mark : subject;
-    op.earlier = earlier_of(op.key, keyed, door);
+    earlier = earlier_of(op.key, keyed, door);
   }
   lines_[line.connection][line.stream] = id;
   const KeyId key = subject.empty()
                         ? no_key
                         : KeyId{static_cast<std::int64_t>(std::hash<std::string_view>{}(subject) >> 11)};
   choice_->op_read(now(), id, type, tenant, key, caller, limit > 0 ? limit - waited : 0, waited, 0, held_kb,
-                   rank, false, op.earlier);
+                   rank, false, earlier);
 }
 
 void Host::line_lost(Line line) {
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -24,7 +24,7 @@
  public:
   // As read by configuration.hpp.
   explicit Host(const Given& given);
-  void serve(); // returns once a drain is over
+  void serve(); // returns once a drain is over; SIGTERM and SIGINT begin one
   bool poll();  // what is ready, without waiting, for a loop of another's; false once a drain is over
   void stop();  // drain now, as at the signal
 
@@ -45,8 +45,6 @@
     OpTypeId type;
     std::string body;
     std::string key; // empty: none
-    Nanos door = 0;
-    OpId earlier;
     bool answered = false;
     bool reusing = false;
     enum class Run { none, wanted, sent, over } run = Run::none;
--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -272,8 +272,10 @@
   content(reply);
 }
 
-void Interpreter::ask_gauges() {
-  if (up_ && asked_ == answered_) question();
+bool Interpreter::ask_gauges() {
+  if (!up_ || asked_ != answered_) return false;
+  question();
+  return true;
 }
 
 void Interpreter::question() {
--- a/node/interpreter.hpp
+++ b/node/interpreter.hpp
@@ -37,7 +37,7 @@
   // Only while up. What is sent before the question of a number is known to be read once that is answered.
   void run(OpId id, std::string_view op_type, std::string_view body);
   void resume(OpId id, std::string_view reply);
-  void ask_gauges(); // unless the answer to a question before is still out
+  bool ask_gauges(); // unless the answer to a question before is still out
   std::uint64_t next_question() const { return asked_ + 1; }
   std::uint64_t answered() const { return answered_; }
 
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -2,6 +2,7 @@
 #include "scene.hpp"
 
 #include <asio/io_context.hpp>
+#include <sys/resource.h>
 
 constexpr Nanos second = 1000 * ms;
 
@@ -32,6 +33,7 @@
   Front front{io,  Peer::at(5050), 4, 64 * 1024, {{"look", "book"}, {false, true}, {"acme", "other"}, true},
               told};
   Bench() {
+    front.accept_again(ms);
     front.leave_to_end(second);
     Peer::turn = [this] {
       io.restart();
@@ -187,6 +189,24 @@
   }
   Peer::until("ends", [&] { return b.front.connections() == 1; });
 
+  say("no descriptor is free: it goes on with those it has, and accepts once one is");
+  {
+    const int next = dup(0);
+    close(next);
+    rlimit limit{}, most{};
+    getrlimit(RLIMIT_NOFILE, &most);
+    limit = {static_cast<rlim_t>(next) + 1, most.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    Peer outside = Peer::to(5050); // takes the last
+    outside.say(frame_of(frames::check, 1, {}));
+    good.say(frame_of(frames::check, 11, {}));
+    heard(good);
+    std::printf("  %zu connections\n", b.front.connections());
+    setrlimit(RLIMIT_NOFILE, &most);
+    heard(outside);
+  }
+  Peer::until("ends", [&] { return b.front.connections() == 1; });
+
   say("silent for too long: told that it takes no more, then closed; not with an op open");
   {
     b.front.silent_close(30 * second);
