--- a/server/main.cpp
+++ b/server/main.cpp
@@ -8,7 +8,7 @@
 int main() {
   try {
     const char* path = std::getenv("RELAY_CONFIG");
-    if (!path) throw std::invalid_argument("RELAY_CONFIG: missing");
+    if (!path || !*path) throw std::invalid_argument("RELAY_CONFIG: missing");
     cometshift::Host(cometshift::read_configuration(path)).serve();
     return 0;
   } catch (const std::exception& e) {
