--- a/node/front.cpp
+++ b/node/front.cpp
@@ -57,7 +57,7 @@
     asio::error_code ignored;
     socket.non_blocking(true, ignored);
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const std::uint64_t id = next_++;
+    const ConnectionId id{next_++};
     Connection& c =
         *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
     c.last = now_;
@@ -87,11 +87,11 @@
 // The one place where a connection is given back.
 void Front::drop(Connection& c, const char* why) {
   if (why) note("connection", "closed: %s", why);
-  const std::set<std::uint32_t> open = std::move(c.open);
-  const std::uint64_t id = c.id;
+  const std::set<StreamId> open = std::move(c.open);
+  const ConnectionId id = c.id;
   waiting_ -= c.waiting;
   connections_.erase(id);
-  for (const std::uint32_t stream : open) taker_.line_lost({id, stream});
+  for (const StreamId stream : open) taker_.line_lost({id, stream});
   accept();
 }
 
@@ -101,13 +101,13 @@
 }
 
 void Front::sweep() {
-  std::vector<std::uint64_t> ended;
+  std::vector<ConnectionId> ended;
   const Nanos least = std::min(idle_ > 0 ? idle_ : silent_, silent_ > 0 ? silent_ : idle_);
   for (auto& [id, c] : connections_) {
     if (least > 0 && c->open.empty() && now_ - c->last >= least) tell_no_more(*c);
     if (over(*c)) ended.push_back(id);
   }
-  for (const std::uint64_t id : ended) drop(*connections_.at(id), nullptr);
+  for (const ConnectionId id : ended) drop(*connections_.at(id), nullptr);
 }
 
 void Front::tell_no_more(Connection& c) {
@@ -186,7 +186,8 @@
     if (left < (whole ? size : frames::head_size)) break;
     const char* at = c.in.get() + from;
     const std::string_view payload(at + frames::head_size, whole ? size - frames::head_size : 0);
-    if (!frame(c, static_cast<std::uint8_t>(at[4]), frames::number_at(at + 5, 4), payload, whole)) continue;
+    if (!frame(c, static_cast<std::uint8_t>(at[4]), StreamId{frames::number_at(at + 5, 4)}, payload, whole))
+      continue;
     from += whole ? size : frames::head_size;
     if (!whole) c.skip = size - frames::head_size;
   }
@@ -197,26 +198,25 @@
 // Against reading on where frames can't be told from each other any more: the peer is told, what is open is
 // settled, and then the connection ends. Others notice nothing.
 void Front::unreadable(Connection& c, const char* why) {
-  note("frame", "connection %llu: %s", static_cast<unsigned long long>(c.id), why);
+  note("frame", "connection %llu: %s", static_cast<unsigned long long>(c.id.raw), why);
   c.deaf = true;
   say(c,
       [](std::string& out) { frames::put_answer(out, frames::answer, 0, frames::failed, -1, 0, false, 0); });
   tell_no_more(c);
 }
 
-bool Front::use_stream(Connection& c, std::uint32_t stream) {
+bool Front::use_stream(Connection& c, StreamId stream) {
   if (stream <= c.used_to || !c.used.insert(stream).second) return false;
   // Against a peer that leaves gaps for ever: its oldest gaps count as used.
   if (c.used.size() > most_used) c.used_to = *c.used.begin();
-  while (!c.used.empty() && *c.used.begin() <= c.used_to + 1) {
+  while (!c.used.empty() && c.used.begin()->raw <= c.used_to.raw + 1) {
     c.used_to = std::max(c.used_to, *c.used.begin());
     c.used.erase(c.used.begin());
   }
   return true;
 }
 
-bool Front::frame(Connection& c, std::uint8_t type, std::uint32_t stream, std::string_view payload,
-                  bool whole) {
+bool Front::frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole) {
   std::string_view rest;
   const bool readable = !whole || frames::fields(
                                       payload, [](auto, auto) {}, rest);
@@ -226,7 +226,7 @@
   }
   if (type == frames::check) {
     say(c, [&](std::string& out) {
-      frames::put_answer(out, frames::checked, stream, good_ ? frames::good : frames::bad, feedback_, 0,
+      frames::put_answer(out, frames::checked, stream.raw, good_ ? frames::good : frames::bad, feedback_, 0,
                          false, 0);
     });
     return true;
@@ -243,7 +243,7 @@
   return true;
 }
 
-void Front::ask(Connection& c, std::uint32_t stream, std::string_view payload, bool whole) {
+void Front::ask(Connection& c, StreamId stream, std::string_view payload, bool whole) {
   if (!whole) return refuse(c, stream, "too large");
   if (c.open.size() >= most_open) return refuse(c, stream, "too many open on its connection");
   static constexpr std::array<std::string_view, 10> known{"verb",  "txn", "door",     "lb",     "team",
@@ -314,7 +314,7 @@
 }
 
 // Against ops that can be read but not be understood: one answer, and the module hears nothing of them.
-void Front::refuse(Connection& c, std::uint32_t stream, const char* why) {
+void Front::refuse(Connection& c, StreamId stream, const char* why) {
   note("request", "refused, %s", why);
   c.open.insert(stream);
   refused({c.id, stream}, 0, true);
@@ -332,7 +332,8 @@
   Connection* c = settle(line);
   if (!c) return;
   say(*c, [&](std::string& out) {
-    frames::put_answer(out, frames::answer, line.stream, frames::good, feedback_, 0, false, result.size());
+    frames::put_answer(out, frames::answer, line.stream.raw, frames::good, feedback_, 0, false,
+                       result.size());
   });
   c->waiting += result.size();
   waiting_ += result.size();
@@ -342,7 +343,7 @@
 void Front::refused(Line line, Nanos stay_away, bool no_retry) {
   if (Connection* c = settle(line))
     say(*c, [&](std::string& out) {
-      frames::put_answer(out, frames::answer, line.stream, frames::refused, feedback_, stay_away / ms,
+      frames::put_answer(out, frames::answer, line.stream.raw, frames::refused, feedback_, stay_away / ms,
                          no_retry, 0);
     });
 }
@@ -350,7 +351,7 @@
 void Front::failed(Line line) {
   if (Connection* c = settle(line))
     say(*c, [&](std::string& out) {
-      frames::put_answer(out, frames::answer, line.stream, frames::failed, feedback_, 0, false, 0);
+      frames::put_answer(out, frames::answer, line.stream.raw, frames::failed, feedback_, 0, false, 0);
     });
 }
 
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -20,8 +20,8 @@
 
 // Where an op's answer goes.
 struct Line {
-  std::uint64_t connection = 0;
-  std::uint32_t stream = 0;
+  ConnectionId connection;
+  StreamId stream;
 };
 
 class Front {
@@ -65,18 +65,18 @@
 
  private:
   struct Connection {
-    Connection(asio::ip::tcp::socket s, std::uint64_t i) : socket(std::move(s)), id(i) {}
+    Connection(asio::ip::tcp::socket s, ConnectionId i) : socket(std::move(s)), id(i) {}
     asio::ip::tcp::socket socket;
-    std::uint64_t id;
+    ConnectionId id;
     std::unique_ptr<char[]> in;
     std::size_t filled = 0;
     std::size_t skip = 0; // bytes to come of a frame that is too large to keep
     std::deque<std::string> out;
     std::size_t written = 0; // of the first of them
     std::size_t waiting = 0; // bytes to write
-    std::set<std::uint32_t> open;
-    std::uint32_t used_to = 0;    // all streams to it have been used
-    std::set<std::uint32_t> used; // those above it
+    std::set<StreamId> open;
+    StreamId used_to;        // all streams to it have been used
+    std::set<StreamId> used; // those above it
     Nanos last = 0;
     Nanos told_at = -1;      // that it takes no new op; -1: not told
     bool reading = false;    // a wait for bytes is out
@@ -91,9 +91,9 @@
   void await_bytes(Connection& c);
   void readable(Connection& c);
   void parse(Connection& c);
-  bool frame(Connection& c, std::uint8_t type, std::uint32_t stream, std::string_view payload, bool whole);
-  void ask(Connection& c, std::uint32_t stream, std::string_view payload, bool whole);
-  bool use_stream(Connection& c, std::uint32_t stream);
+  bool frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole);
+  void ask(Connection& c, StreamId stream, std::string_view payload, bool whole);
+  bool use_stream(Connection& c, StreamId stream);
   void unreadable(Connection& c, const char* why);
   template <class Put>
   void say(Connection& c, Put put);
@@ -103,7 +103,7 @@
   void write(Connection& c);
   void drop(Connection& c, const char* why);
   void sweep();
-  void refuse(Connection& c, std::uint32_t stream, const char* why);
+  void refuse(Connection& c, StreamId stream, const char* why);
   bool over(const Connection& c) const;
 
   asio::io_context& io_;
@@ -113,8 +113,8 @@
   std::size_t most_waiting_;
   Names names_;
   Taker& taker_;
-  std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
-  std::vector<std::uint64_t> dirty_;
+  std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
+  std::vector<ConnectionId> dirty_;
   std::uint64_t next_ = 1;
   std::size_t waiting_ = 0; // bytes to write, in all
   Nanos now_ = 0;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -170,7 +170,7 @@
 // ---- ops
 
 Host::Op* Host::open(OpId id) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   return at == ops_.end() || at->second.answered ? nullptr : &at->second;
 }
 
@@ -189,7 +189,7 @@
 }
 
 void Host::release(OpId id) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   const Op& op = at->second;
   if (op.answered && op.run != Op::Run::wanted && op.run != Op::Run::sent) ops_.erase(at);
@@ -202,15 +202,15 @@
   const bool keyed = repeats == Repeats::keyed;
   const bool shared = repeats == Repeats::retryable && fresh_for_ > 0 && !subject.empty();
   // Against filling the memory, and against a try that comes twice.
-  if (ops_.size() >= most_ops_ || ops_.contains(id.raw) ||
+  if (ops_.size() >= most_ops_ || ops_.contains(id) ||
       (keyed && keys_.size() >= part_of(given_, "memory_mb", keys_for_mb, 1))) {
-    note("request", "refused, %s", ops_.contains(id.raw) ? "its txn is known" : "too many");
+    note("request", "refused, %s", ops_.contains(id) ? "its txn is known" : "too many");
     return front_.refused(line, 0, false);
   }
   door = std::min(door + shift_, now());
   Nanos waited = std::min(now() - door, longest_wait);
   if (limit > 0) waited = std::min(waited, limit - 1); // patience is told as at least something
-  Op& op = ops_[id.raw];
+  Op& op = ops_[id];
   op.line = line;
   op.type = type;
   op.body = body;
@@ -255,7 +255,7 @@
 // ---- runs
 
 void Host::run(OpId id) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   Op& op = at->second;
   op.run = Op::Run::wanted;
@@ -287,8 +287,7 @@
 // not have been read, only what may run twice is sent again: a run may end at this moment.
 void Host::caught_up(std::uint64_t heard) {
   std::vector<OpId> moot;
-  for (auto& [raw, op] : ops_) {
-    const OpId id{raw};
+  for (auto& [id, op] : ops_) {
     if (op.run == Op::Run::wanted && op.answered)
       moot.push_back(id); // was never begun, and never will be
     else if (op.run == Op::Run::wanted || (op.run == Op::Run::sent && !op.heard && op.run_known > heard &&
@@ -309,13 +308,12 @@
 void Host::settle_strays() {
   if (!interpreter_.up() || now() - looked_at_ < stray_rest_) return;
   looked_at_ = now();
-  for (auto& [raw, op] : ops_)
-    if (op.run == Op::Run::sent && op.answered && now() - op.answered_at >= stray_rest_)
-      send_run(OpId{raw}, op);
+  for (auto& [id, op] : ops_)
+    if (op.run == Op::Run::sent && op.answered && now() - op.answered_at >= stray_rest_) send_run(id, op);
 }
 
 void Host::run_over(OpId id, Outcome outcome, Nanos lag, std::string result) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   if (at == ops_.end() || (at->second.run != Op::Run::sent && at->second.run != Op::Run::wanted))
     return note("notice", "passed over, the end of a run that is not known");
   Op& op = at->second;
@@ -340,7 +338,7 @@
   note("interpreter", "not carried out: %.*s", static_cast<int>(std::min<std::size_t>(command.size(), 40)),
        command.data());
   // A start that was none: nothing was begun, and nothing else will be heard of it.
-  if (const auto at = ops_.find(id.raw);
+  if (const auto at = ops_.find(id);
       command == "APPLY" && at != ops_.end() && !at->second.heard && at->second.run == Op::Run::sent)
     run_over(id, Outcome::moot, 0, {});
 }
@@ -353,7 +351,7 @@
 // ---- calls
 
 void Host::call_wanted(OpId id, std::string body) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   if (at == ops_.end() || at->second.run != Op::Run::sent || at->second.at_call)
     return note("notice", "passed over, a call of a run that is not known");
   at->second.heard = at->second.at_call = true;
@@ -362,7 +360,7 @@
 }
 
 void Host::call(OpId id, Nanos time_out) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   records_.call(id, time_out > 0 ? time_out : op_timeouts_[at->second.type.raw], at->second.call,
                 [this, id, begun = now()](Outcome outcome, std::string reply) {
@@ -371,7 +369,7 @@
 }
 
 void Host::call_over(OpId id, Nanos begun, Outcome outcome, std::string reply) {
-  const auto at = ops_.find(id.raw);
+  const auto at = ops_.find(id);
   if (at == ops_.end()) return;
   Op& op = at->second;
   if (outcome == Outcome::done) {
@@ -388,7 +386,7 @@
 // ---- keys, repeats and results
 
 Host::Kept* Host::entry_of(OpId id) {
-  const auto op = ops_.find(id.raw);
+  const auto op = ops_.find(id);
   if (op == ops_.end() || op->second.key.empty()) return nullptr;
   const auto at = keys_.find(op->second.key);
   return at == keys_.end() ? nullptr : &at->second;
@@ -399,14 +397,14 @@
   if (at == keys_.end()) return no_op;
   const Kept& entry = at->second;
   // A holder that is gone without a run leaves nothing to repeat.
-  if (entry.state == Kept::State::held && !ops_.contains(entry.holder.raw)) return no_op;
+  if (entry.state == Kept::State::held && !ops_.contains(entry.holder)) return no_op;
   if (keyed) return door <= entry.until + key_slack ? entry.holder : no_op;
   if (now() > entry.until || entry.state == Kept::State::failed) return no_op;
   return entry.state == Kept::State::done && now() - entry.ended_at > fresh_for_ ? no_op : entry.holder;
 }
 
 void Host::keep_key(OpId id, Nanos lifetime) {
-  const auto op = ops_.find(id.raw);
+  const auto op = ops_.find(id);
   if (op == ops_.end() || op->second.key.empty()) return;
   const auto [at, fresh] = keys_.try_emplace(op->second.key);
   Kept& entry = at->second;
@@ -429,7 +427,7 @@
   Kept* entry = entry_of(id);
   if (!entry || entry->holder != id) return;
   settle(*entry, Kept::State::failed, {});
-  erase(ops_.at(id.raw).key);
+  erase(ops_.at(id).key);
 }
 
 // The one place where an entry is given back, with its result.
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -55,7 +55,6 @@
     std::optional<std::string> reply; // to its call, kept while the link is down
     Nanos answered_at = 0;
   };
-  using Ops = std::unordered_map<std::uint64_t, Op>;
 
   // The module's orders.
   void run(OpId op) override;
@@ -117,8 +116,8 @@
   Nanos longest_ = 0; // op timeout
   Nanos until_kill_;
 
-  Ops ops_;
-  std::map<std::uint64_t, std::map<std::uint32_t, OpId>> lines_; // of the ops not answered, by connection
+  std::map<OpId, Op> ops_;
+  std::map<ConnectionId, std::map<StreamId, OpId>> lines_; // of the ops not answered, by connection
   std::unordered_map<std::string, Kept> keys_;
   std::multimap<Nanos, std::string> key_ends_; // one for each of them
   std::size_t result_bytes_ = 0;
--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -21,6 +21,8 @@
 using CallerId = Id<struct CallerIdTag, std::uint64_t>;
 using KeyId = Id<struct KeyIdTag, std::int64_t>; // -1: no key
 using WakeId = Id<struct WakeIdTag, std::uint64_t>;
+using ConnectionId = Id<struct ConnectionIdTag, std::uint64_t>; // of a caller's; never given again
+using StreamId = Id<struct StreamIdTag, std::uint32_t>;         // of an op on its connection
 
 constexpr OpId no_op{0};
 constexpr KeyId no_key{-1};
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -147,7 +147,7 @@
     half.reset();
     Peer::until("loss", [&] { return !b.told.lost.empty(); });
     std::printf("  lost: %zu, stream %u, read %zu, connections %zu\n", b.told.lost.size(),
-                b.told.lost[0].stream, b.told.lines.size(), b.front.connections());
+                b.told.lost[0].stream.raw, b.told.lines.size(), b.front.connections());
     b.front.served(b.told.lost[0], "nobody hears it");
   }
 
@@ -223,9 +223,11 @@
   }
 
   say("doors closed: what was connected before is told so, still read and answered, then closed; no others");
-  Peer waiting = Peer::to(5050);
   const Line line = b.asked(good, ask(++stream, txn));
+  const auto turn = std::exchange(Peer::turn, [] {});
+  Peer waiting = Peer::to(5050); // connected, and not accepted yet
   b.front.close_doors();
+  Peer::turn = turn;
   heard(waiting), heard(good);
   std::printf("  closed: %d\n", b.front.closed());
   b.front.refused(b.asked(good, ask(++stream, txn)), 0, false);
