Clean-up: what was parsed, looked up or written twice stands once

The fields of a request were parsed once to see whether they can be read and once more to take them; the bound on keys was looked up by name for every keyed op; the names of op types and tenants were read twice at the start. Hex digits of ids stood in three files (now src/hex.hpp, for both programs), the form of an address in two, the checks of op types and tenants were twins, and letting go of an old result was Host::settle again. Gone: what nobody read (Interpreter::answered, the whole map of settings in the host).

One log line differs: a frame of an unknown type is called that even if its fields overrun it.

--- a/node/address.hpp
+++ b/node/address.hpp
@@ -1,17 +1,34 @@
-// A checked address with its port, such as 127.0.0.1:5050 or [::1]:5050, as an end of a connection.
+// An address with its port, such as 127.0.0.1:5050 or [::1]:5050, as an end of a connection.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
 
+#include <charconv>
+#include <optional>
+#include <stdexcept>
 #include <string>
 
 namespace cometshift {
 
-inline asio::ip::tcp::endpoint endpoint_of(const std::string& address) {
+inline std::optional<asio::ip::tcp::endpoint> endpoint_in(const std::string& address) {
   const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  unsigned port = 0;
+  const char* last = address.data() + address.size();
+  const auto [end, wrong] = std::from_chars(address.data() + colon + 1, last, port);
+  if (wrong != std::errc() || end != last || port == 0 || port > 65535) return std::nullopt;
   std::string host = address.substr(0, colon);
-  if (host.front() == '[') host = host.substr(1, host.size() - 2);
-  return {asio::ip::make_address(host), static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  asio::error_code error;
+  const asio::ip::address at = asio::ip::make_address(host, error);
+  if (error) return std::nullopt;
+  return asio::ip::tcp::endpoint(at, static_cast<unsigned short>(port));
+}
+
+// Of one that has been checked.
+inline asio::ip::tcp::endpoint endpoint_of(const std::string& address) {
+  if (const auto end = endpoint_in(address)) return *end;
+  throw std::invalid_argument(address + ": not an address with a port");
 }
 
 } // namespace cometshift
--- a/node/configuration.cpp
+++ b/node/configuration.cpp
@@ -1,9 +1,8 @@
 #include "configuration.hpp"
 
+#include "address.hpp"
 #include "given.hpp"
 
-#include <asio/ip/address.hpp>
-
 #include <charconv>
 #include <set>
 
@@ -49,18 +48,8 @@
 }
 std::string address(const object& from, const char* name) {
   const std::string found = word(from, name);
-  const std::size_t colon = found.rfind(':');
-  unsigned port = 0;
-  asio::error_code error;
-  if (colon != std::string::npos) {
-    const char* last = found.data() + found.size();
-    const auto [end, wrong] = std::from_chars(found.data() + colon + 1, last, port);
-    std::string host = found.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-    asio::ip::make_address(host, error);
-    if (wrong == std::errc() && end == last && port > 0 && port < 65536 && !error) return found;
-  }
-  bad(name, "not an address with a port, such as 127.0.0.1:5050");
+  if (!endpoint_in(found)) bad(name, "not an address with a port, such as 127.0.0.1:5050");
+  return found;
 }
 
 // What the module can't do without, by the names under which it is told.
@@ -82,30 +71,34 @@
   one_of("halt", "family_info.halt", {"none", "drop", "pause"});
   one_of("below", "family_info.below", {"common", "next_hop", "none"});
   one_of("value_by", "value_by", {"op", "work"});
-  std::set<std::string> names;
-  int t = 0;
-  for (;; ++t) {
-    const std::string ours = "op_type." + std::to_string(t) + ".";
-    const std::string wire = "categories[" + std::to_string(t) + "].";
-    if (given.lower_bound(ours) == given.end() || !given.lower_bound(ours)->first.starts_with(ours)) break;
-    needs(ours + "op_timeout_ns", wire + "deadline_ns", 1);
-    needs(ours + "target_latency_ns", wire + "target_ns", 1);
-    if (!given.contains(ours + "repeats")) bad(path + wire + "effect", "missing");
-    one_of(ours + "repeats", wire + "effect", {"retryable", "keyed", "non_retryable"});
-    if (text(given, ours + "repeats", "") == "keyed") needs(ours + "key_window_ns", wire + "key_ttl_ns", 1);
-    if (text(given, ours + "name", "").empty()) bad(path + wire + "name", "missing");
-    if (!names.insert(text(given, ours + "name", "")).second) bad(path + wire + "name", "twice the same");
-  }
-  if (t == 0) bad(path + "categories", "missing");
-  names.clear();
-  for (t = 0;; ++t) {
-    const std::string ours = "tenant." + std::to_string(t) + ".";
-    const std::string wire = "parties[" + std::to_string(t) + "].";
-    if (given.lower_bound(ours) == given.end() || !given.lower_bound(ours)->first.starts_with(ours)) break;
+  // Hands each entry of a list to `check`, with its names; each has a name of its own. How many there are.
+  const auto entries = [&](const char* list, const char* wire_list, auto check) {
+    std::set<std::string> names;
+    for (int i = 0;; ++i) {
+      const std::string number = std::to_string(i);
+      const std::string ours = std::string(list).append(number).append(".");
+      const std::string wire = std::string(wire_list).append("[").append(number).append("].");
+      const auto first = given.lower_bound(ours);
+      if (first == given.end() || !first->first.starts_with(ours)) return i;
+      check(ours, wire);
+      const std::string name = text(given, ours + "name", "");
+      if (name.empty()) bad(path + wire + "name", "missing");
+      if (!names.insert(name).second) bad(path + wire + "name", "twice the same");
+    }
+  };
+  const int op_types =
+      entries("op_type.", "categories", [&](const std::string& ours, const std::string& wire) {
+        needs(ours + "op_timeout_ns", wire + "deadline_ns", 1);
+        needs(ours + "target_latency_ns", wire + "target_ns", 1);
+        if (!given.contains(ours + "repeats")) bad(path + wire + "effect", "missing");
+        one_of(ours + "repeats", wire + "effect", {"retryable", "keyed", "non_retryable"});
+        if (text(given, ours + "repeats", "") == "keyed")
+          needs(ours + "key_window_ns", wire + "key_ttl_ns", 1);
+      });
+  if (op_types == 0) bad(path + "categories", "missing");
+  entries("tenant.", "parties", [&](const std::string& ours, const std::string& wire) {
     needs(ours + "quota", wire + "quota_rps", 0);
-    if (text(given, ours + "name", "").empty()) bad(path + wire + "name", "missing");
-    if (!names.insert(text(given, ours + "name", "")).second) bad(path + wire + "name", "twice the same");
-  }
+  });
 }
 
 } // namespace
--- a/node/frames.cpp
+++ b/node/frames.cpp
@@ -50,11 +50,6 @@
   put_number(out, 0, 4);
 }
 
-bool read_hex(std::string_view text, std::uint64_t& into) {
-  const char* last = text.data() + text.size();
-  const auto [end, wrong] = std::from_chars(text.data(), last, into, 16);
-  return text.size() == 16 && wrong == std::errc() && end == last;
-}
 bool read_whole(std::string_view text, std::int64_t& into) { return whole(text, into); }
 bool read_number(std::string_view text, double& into) { return whole(text, into) && std::isfinite(into); }
 
--- a/node/frames.hpp
+++ b/node/frames.hpp
@@ -56,8 +56,7 @@
                 std::int64_t later_ms, bool give_up, std::size_t body_size);
 void put_no_more(std::string& out);
 
-// Whole texts only: hex digits, whole decimal numbers, and numbers with a fraction.
-bool read_hex(std::string_view text, std::uint64_t& into);
+// Whole texts only: whole decimal numbers, and numbers with a fraction.
 bool read_whole(std::string_view text, std::int64_t& into);
 bool read_number(std::string_view text, double& into);
 
--- a/node/front.cpp
+++ b/node/front.cpp
@@ -2,6 +2,7 @@
 
 #include "address.hpp"
 #include "frames.hpp"
+#include "hex.hpp"
 #include "log.hpp"
 
 #include <algorithm>
@@ -22,6 +23,7 @@
 constexpr std::size_t gathered = 32;    // pieces in one write
 constexpr std::size_t piece = 4 * 1024; // smaller ones are put together
 constexpr int reads_a_turn = 4;         // of one connection: the others get their turn
+constexpr const char* overrun = "fields that overrun it";
 constexpr Nanos ms = 1'000'000;
 constexpr std::int64_t latest_time = std::int64_t{1} << 42; // ms: keeps times in whole nanoseconds
 
@@ -197,12 +199,13 @@
 
 // Against reading on where frames can't be told from each other any more: the peer is told, what is open is
 // settled, and then the connection ends. Others notice nothing.
-void Front::unreadable(Connection& c, const char* why) {
+bool Front::unreadable(Connection& c, const char* why) {
   note("frame", "connection %llu: %s", static_cast<unsigned long long>(c.id.raw), why);
   c.deaf = true;
   say(c,
       [](std::string& out) { frames::put_answer(out, frames::answer, 0, frames::failed, -1, 0, false, 0); });
   tell_no_more(c);
+  return false;
 }
 
 bool Front::use_stream(Connection& c, StreamId stream) {
@@ -217,52 +220,39 @@
 }
 
 bool Front::frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole) {
+  if (type == frames::ask) return ask(c, stream, payload, whole);
+  if (type != frames::check) return unreadable(c, "an unknown type");
   std::string_view rest;
-  const bool readable = !whole || frames::fields(
-                                      payload, [](auto, auto) {}, rest);
-  if (!readable) {
-    unreadable(c, "fields that overrun it");
-    return false;
-  }
-  if (type == frames::check) {
-    say(c, [&](std::string& out) {
-      frames::put_answer(out, frames::checked, stream.raw, good_ ? frames::good : frames::bad, feedback_, 0,
-                         false, 0);
-    });
-    return true;
-  }
-  if (type != frames::ask) {
-    unreadable(c, "an unknown type");
-    return false;
-  }
-  if (!use_stream(c, stream)) {
-    unreadable(c, "a stream used twice");
-    return false;
-  }
-  ask(c, stream, payload, whole);
+  const auto ignore = [](std::string_view, std::string_view) {};
+  if (whole && !frames::fields(payload, ignore, rest)) return unreadable(c, overrun);
+  say(c, [&](std::string& out) {
+    frames::put_answer(out, frames::checked, stream.raw, good_ ? frames::good : frames::bad, feedback_, 0,
+                       false, 0);
+  });
   return true;
 }
 
-void Front::ask(Connection& c, StreamId stream, std::string_view payload, bool whole) {
-  if (!whole) return refuse(c, stream, "too large");
-  if (c.open.size() >= most_open) return refuse(c, stream, "too many open on its connection");
+// A request: false if it can't be read.
+bool Front::ask(Connection& c, StreamId stream, std::string_view payload, bool whole) {
   static constexpr std::array<std::string_view, 10> known{"verb",  "txn", "door",     "lb",     "team",
                                                           "limit", "ram", "standing", "unique", "item"};
   std::array<std::string_view, known.size()> value;
   std::array<bool, known.size()> there{};
   bool twice = false;
   std::string_view body;
-  frames::fields(
-      payload,
-      [&](std::string_view name, std::string_view text) {
-        const auto at = static_cast<std::size_t>(std::find(known.begin(), known.end(), name) - known.begin());
-        if (at == known.size()) return;
-        twice = twice || there[at];
-        there[at] = true;
-        value[at] = text;
-      },
-      body);
+  const auto take = [&](std::string_view name, std::string_view text) {
+    const auto at = static_cast<std::size_t>(std::find(known.begin(), known.end(), name) - known.begin());
+    if (at == known.size()) return;
+    twice = twice || there[at];
+    there[at] = true;
+    value[at] = text;
+  };
+  const bool readable = !whole || frames::fields(payload, take, body);
   const auto& [verb, txn, door, lb, team, limit, ram, standing, unique, item] = value;
+  if (!readable) return unreadable(c, overrun);
+  if (!use_stream(c, stream)) return unreadable(c, "a stream used twice");
+  if (!whole) return refuse(c, stream, "too large");
+  if (c.open.size() >= most_open) return refuse(c, stream, "too many open on its connection");
   if (twice) return refuse(c, stream, "a field twice");
   if (body.size() > most_body) return refuse(c, stream, "a body too large");
   const auto type = std::find(names_.op_types.begin(), names_.op_types.end(), verb);
@@ -274,7 +264,7 @@
   std::uint64_t id = 0;
   std::int64_t door_ms = 0, limit_ms = 0, caller = 0;
   double kb = 0, rank = 0;
-  if (!frames::read_hex(txn, id) || id == no_op.raw) return refuse(c, stream, "txn");
+  if (!read_hex(txn, id) || id == no_op.raw) return refuse(c, stream, "txn");
   if (!frames::read_whole(door, door_ms) || door_ms < 0 || door_ms > latest_time)
     return refuse(c, stream, "door");
   if (!frames::read_whole(lb, caller) || caller < 0) return refuse(c, stream, "lb");
@@ -292,6 +282,7 @@
       TenantId{names_.tenants.empty() ? 0 : static_cast<std::uint32_t>(tenant - names_.tenants.begin())},
       CallerId{static_cast<std::uint64_t>(caller)}, door_ms * ms, limit_ms * ms, kb, rank, unique, item,
       body);
+  return true;
 }
 
 // ---- bytes out
@@ -314,10 +305,11 @@
 }
 
 // Against ops that can be read but not be understood: one answer, and the module hears nothing of them.
-void Front::refuse(Connection& c, StreamId stream, const char* why) {
+bool Front::refuse(Connection& c, StreamId stream, const char* why) {
   note("request", "refused, %s", why);
   c.open.insert(stream);
   refused({c.id, stream}, 0, true);
+  return true;
 }
 
 // The connection of a line that is to be answered now; null if it is gone.
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -8,7 +8,6 @@
 #include <asio/steady_timer.hpp>
 
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -92,9 +91,9 @@
   void readable(Connection& c);
   void parse(Connection& c);
   bool frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole);
-  void ask(Connection& c, StreamId stream, std::string_view payload, bool whole);
+  bool ask(Connection& c, StreamId stream, std::string_view payload, bool whole);
   bool use_stream(Connection& c, StreamId stream);
-  void unreadable(Connection& c, const char* why);
+  bool unreadable(Connection& c, const char* why); // false: nothing more is read
   template <class Put>
   void say(Connection& c, Put put);
   void mark(Connection& c);
@@ -103,7 +102,7 @@
   void write(Connection& c);
   void drop(Connection& c, const char* why);
   void sweep();
-  void refuse(Connection& c, StreamId stream, const char* why);
+  bool refuse(Connection& c, StreamId stream, const char* why); // true: reading goes on
   bool over(const Connection& c) const;
 
   asio::io_context& io_;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -2,8 +2,6 @@
 
 #include "log.hpp"
 
-#include <asio/post.hpp>
-
 #include <algorithm>
 #include <chrono>
 #include <csignal>
@@ -53,19 +51,18 @@
 } // namespace
 
 Host::Host(const Given& given)
-    : signals_(io_), timer_(io_), given_(given), fresh_for_(span(given, "fresh_for_ns", 0)),
+    : signals_(io_), timer_(io_), names_(names_in(given)), fresh_for_(span(given, "fresh_for_ns", 0)),
       until_kill_(span(given, "stop_ns", 0)), most_results_(part_of(given, "memory_mb", mb, results_part)),
       most_ops_(part_of(given, "memory_mb", ops_for_mb, 1)),
+      most_keys_(part_of(given, "memory_mb", keys_for_mb, 1)),
       front_(io_, text(given, "listen", ""), part_of(given, "sockets", own_part - 2, own_part),
-             part_of(given, "memory_mb", mb, answers_part), names_in(given), *this),
+             part_of(given, "memory_mb", mb, answers_part), names_, *this),
       interpreter_(io_, text(given, "vm", ""), *this),
       records_(io_, text(given, "records", ""), part_of(given, "sockets", 1, calls_part)),
       announce_(io_, text(given, "announce", ""), text(given, "name", "")) {
-  const Front::Names names = names_in(given);
-  op_types_ = names.op_types;
-  for (std::size_t t = 0; t < op_types_.size(); ++t) {
+  for (std::size_t t = 0; t < names_.op_types.size(); ++t) {
     const std::string at = "op_type." + std::to_string(t) + ".";
-    repeats_.push_back(names.marked[t]                                  ? Repeats::keyed
+    repeats_.push_back(names_.marked[t]                                 ? Repeats::keyed
                        : text(given, at + "repeats", "") == "retryable" ? Repeats::retryable
                                                                         : Repeats::non_retryable);
     op_timeouts_.push_back(span(given, at + "op_timeout_ns"));
@@ -73,7 +70,7 @@
   }
   for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g) gauges_.push_back(0);
   const auto half = [&](const char* name) { return static_cast<std::uint64_t>(number(given, name, 0)); };
-  choice_.reset(new Choice(now(), half("seed_high") << 32 | half("seed_low"), given_, *this));
+  choice_.reset(new Choice(now(), half("seed_high") << 32 | half("seed_low"), given, *this));
 }
 
 // ---- the loop
@@ -202,8 +199,7 @@
   const bool keyed = repeats == Repeats::keyed;
   const bool shared = repeats == Repeats::retryable && fresh_for_ > 0 && !subject.empty();
   // Against filling the memory, and against a try that comes twice.
-  if (ops_.size() >= most_ops_ || ops_.contains(id) ||
-      (keyed && keys_.size() >= part_of(given_, "memory_mb", keys_for_mb, 1))) {
+  if (ops_.size() >= most_ops_ || ops_.contains(id) || (keyed && keys_.size() >= most_keys_)) {
     note("request", "refused, %s", ops_.contains(id) ? "its txn is known" : "too many");
     return front_.refused(line, 0, false);
   }
@@ -271,7 +267,7 @@
 void Host::send_run(OpId id, Op& op) {
   op.run = Op::Run::sent;
   op.run_known = interpreter_.next_question();
-  interpreter_.run(id, op_types_[op.type.raw], op.body);
+  interpreter_.run(id, names_.op_types[op.type.raw], op.body);
 }
 
 void Host::halt(OpId) { note("module", "this link has no command to stop a run"); }
@@ -409,20 +405,15 @@
   const auto [at, fresh] = keys_.try_emplace(op->second.key);
   Kept& entry = at->second;
   if (!fresh) key_ends_.erase(entry.end);
-  if (entry.state == Kept::State::done || entry.state == Kept::State::failed) drop_result(entry);
+  if (entry.state == Kept::State::done || entry.state == Kept::State::failed) {
+    settle(entry, Kept::State::held, {}); // its time is over: nothing of the run before is left
+    entry.ran = no_op;
+  }
   entry.holder = id;
   entry.until = now() + lifetime;
   entry.end = key_ends_.emplace(entry.until + key_slack + longest_, at->first);
 }
 
-void Host::drop_result(Kept& entry) {
-  result_bytes_ -= entry.result.size();
-  entry.result.clear();
-  entry.result.shrink_to_fit();
-  entry.ran = no_op;
-  entry.state = Kept::State::held;
-}
-
 void Host::forget_key(OpId id) {
   Kept* entry = entry_of(id);
   if (!entry || entry->holder != id) return;
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -99,7 +99,6 @@
   Kept* entry_of(OpId id); // under its key, whoever holds it; null if there is none
   OpId earlier_of(const std::string& key, bool keyed, Nanos door);
   void settle(Kept& entry, Kept::State state, std::string result);
-  void drop_result(Kept& entry);
   void erase(const std::string& key);
   void finish_reused();
   void forget_old();
@@ -108,8 +107,7 @@
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer timer_;
-  Given given_;
-  std::vector<std::string> op_types_;
+  Front::Names names_;
   std::vector<Repeats> repeats_;
   std::vector<Nanos> op_timeouts_;
   Nanos fresh_for_;
@@ -123,6 +121,7 @@
   std::size_t result_bytes_ = 0;
   std::size_t most_results_;
   std::size_t most_ops_;
+  std::size_t most_keys_;
   std::vector<OpId> reused_; // to be answered after the module has returned
 
   using Wake = std::pair<Nanos, std::uint64_t>;
--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -1,6 +1,7 @@
 #include "interpreter.hpp"
 
 #include "address.hpp"
+#include "hex.hpp"
 #include "log.hpp"
 
 #include <asio/post.hpp>
@@ -21,9 +22,6 @@
 constexpr int reads_a_turn = 8;
 constexpr std::string_view digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
-void put_hex(std::string& out, std::uint64_t value) {
-  for (int shift = 60; shift >= 0; shift -= 4) out += "0123456789abcdef"[(value >> shift) & 15];
-}
 std::string_view word(const object& o, const char* name) {
   std::string_view found;
   return o[name].get(found) == simdjson::SUCCESS ? found : std::string_view();
@@ -37,12 +35,7 @@
   if (o[name].get(found) != simdjson::SUCCESS || !(found >= 0) || found > 1e12) return 0;
   return static_cast<Nanos>(found * 1e6);
 }
-bool id_in(const object& o, OpId& into) {
-  const std::string_view hex = word(o, "uid");
-  const auto [end, wrong] = std::from_chars(hex.data(), hex.data() + hex.size(), into.raw, 16);
-  return hex.size() == 16 && wrong == std::errc() && end == hex.data() + hex.size();
-}
-
+bool id_in(const object& o, OpId& into) { return read_hex(word(o, "uid"), into.raw); }
 bool content_in(const object& o, std::string& into) {
   std::string_view found;
   return o["content"].get(found) == simdjson::SUCCESS && read_base64(found, into);
--- a/node/interpreter.hpp
+++ b/node/interpreter.hpp
@@ -39,7 +39,6 @@
   void resume(OpId id, std::string_view reply);
   bool ask_gauges(); // unless the answer to a question before is still out
   std::uint64_t next_question() const { return asked_ + 1; }
-  std::uint64_t answered() const { return answered_; }
 
   void link_again(Nanos rest) { rest_ = rest; }
   void flush();
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -3,6 +3,7 @@
 // Names of the wire end here. A defect in the input ends the process with one line on standard error.
 #include "choice.hpp"
 #include "given.hpp"
+#include "hex.hpp"
 
 #include <simdjson.h>
 
@@ -37,9 +38,7 @@
     char digits[32];
     out_.append(digits, std::to_chars(digits, digits + sizeof digits, value).ptr);
   }
-  void hex(std::uint64_t value) {
-    for (int shift = 60; shift >= 0; shift -= 4) out_ += "0123456789abcdef"[(value >> shift) & 15];
-  }
+  void hex(std::uint64_t value) { put_hex(out_, value); }
   void quoted(std::string_view s) {
     out_ += '"';
     for (const char c : s) {
@@ -142,9 +141,7 @@
 }
 OpId id_in(std::string_view hex, std::string_view name) {
   std::uint64_t raw = 0;
-  const auto [end, error] = std::from_chars(hex.data(), hex.data() + hex.size(), raw, 16);
-  if (hex.size() != 16 || error != std::errc() || end != hex.data() + hex.size())
-    bad("not an id in field", name);
+  if (!read_hex(hex, raw)) bad("not an id in field", name);
   return OpId{raw};
 }
 OpId op_of(const object& o) { return id_in(must<std::string_view>(o, "msg_id"), "msg_id"); }
--- /dev/null
+++ b/src/hex.hpp
@@ -0,0 +1,20 @@
+// Ids as the 16 hex digits that both wires use.
+#pragma once
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cometshift {
+
+inline void put_hex(std::string& out, std::uint64_t value) {
+  for (int shift = 60; shift >= 0; shift -= 4) out += "0123456789abcdef"[(value >> shift) & 15];
+}
+inline bool read_hex(std::string_view text, std::uint64_t& into) {
+  const char* last = text.data() + text.size();
+  const auto [end, wrong] = std::from_chars(text.data(), last, into, 16);
+  return text.size() == 16 && wrong == std::errc() && end == last;
+}
+
+} // namespace cometshift
--- a/tests/frames.cpp
+++ b/tests/frames.cpp
@@ -1,3 +1,4 @@
+#include "hex.hpp"
 #include "scene.hpp"
 
 void show(const char* what, const std::string& bytes) {
@@ -43,7 +44,7 @@
   for (const char* text :
        {"9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d4g", "-b1f03aa5c7e2d41", ""}) {
     std::uint64_t id = 0;
-    std::printf("hex %s: %s\n", text, frames::read_hex(text, id) ? "read" : "malformed");
+    std::printf("hex %s: %s\n", text, read_hex(text, id) ? "read" : "malformed");
   }
   for (const char* text : {"24.5", "1e3", "", "nan", "inf", "1e999", "2 ", "0x2", "1,5"}) {
     double value = 0;
