A hang-up reads the configuration again and goes over to its addresses

At fault: Host::serve caught no SIGHUP, and addresses were taken once, in the constructors of Interpreter, Records and Announce.

The link is left only when an answer to one more question proves that all commands are read; calls in hand end where they are, new ones and reports go to the new addresses at once. A file that can't be taken is logged with its key and changes nothing. Caught from before the listener opens. The host test's new part fails without it (the program ends); a member of that test was read before it was set, which is mended too.

--- a/node/announce.cpp
+++ b/node/announce.cpp
@@ -20,6 +20,17 @@
     report();
 }
 
+// A list elsewhere knows nothing of this server yet: it is told at once.
+void Announce::move_to(const std::string& address) {
+  const asio::ip::tcp::endpoint to = endpoint_of(address);
+  if (to == address_) return;
+  address_ = to;
+  asio::error_code ignored;
+  socket_.close(ignored);
+  open_ = false;
+  if (told_) report();
+}
+
 void Announce::report() {
   const std::uint64_t turn = ++turn_;
   busy_ = true;
--- a/node/announce.hpp
+++ b/node/announce.hpp
@@ -17,6 +17,7 @@
   Announce(asio::io_context& io, const std::string& address, std::string name);
 
   void accepting(bool yes); // reported at once, and then again and again
+  void move_to(const std::string& address);
   void report_every(Nanos time) { every_ = time; }
   void wait_for_reply(Nanos time) { patience_ = time; }
 
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -1,5 +1,6 @@
 #include "host.hpp"
 
+#include "configuration.hpp"
 #include "log.hpp"
 
 #include <algorithm>
@@ -39,6 +40,11 @@
   names.tells_patience = number(given, "tells_patience", 0) != 0;
   return names;
 }
+// From before the listener opens: where a path is told, a hang-up does not end the program.
+std::string catching(asio::signal_set& hang_ups, std::string path) {
+  if (!path.empty()) hang_ups.add(SIGHUP);
+  return path;
+}
 std::size_t part_of(const Given& given, const char* name, std::size_t unit, std::size_t divisor) {
   return static_cast<std::size_t>(number(given, name, 0)) * unit / divisor;
 }
@@ -50,8 +56,9 @@
 
 } // namespace
 
-Host::Host(const Given& given)
-    : signals_(io_), timer_(io_), names_(names_in(given)), fresh_for_(span(given, "fresh_for_ns", 0)),
+Host::Host(const Given& given, std::string path)
+    : signals_(io_), hang_ups_(io_), path_(catching(hang_ups_, std::move(path))), timer_(io_),
+      names_(names_in(given)), fresh_for_(span(given, "fresh_for_ns", 0)),
       until_kill_(span(given, "stop_ns", 0)), most_results_(part_of(given, "memory_mb", mb, results_part)),
       most_ops_(part_of(given, "memory_mb", ops_for_mb, 1)),
       most_keys_(part_of(given, "memory_mb", keys_for_mb, 1)),
@@ -71,6 +78,7 @@
   for (int g = 0; given.contains("gauge." + std::to_string(g)); ++g) gauges_.push_back(0);
   const auto half = [&](const char* name) { return static_cast<std::uint64_t>(number(given, name, 0)); };
   choice_.reset(new Choice(now(), half("seed_high") << 32 | half("seed_low"), given, *this));
+  if (!path_.empty()) await_hang_up();
 }
 
 // ---- the loop
@@ -101,6 +109,26 @@
   }
 }
 
+void Host::await_hang_up() {
+  hang_ups_.async_wait([this](asio::error_code error, int) {
+    if (error) return;
+    try {
+      reload(read_configuration(path_));
+    } catch (const std::exception& e) { // a file that can't be taken changes nothing
+      note("reload", "left as it was: %s", e.what());
+    }
+    await_hang_up();
+  });
+}
+
+void Host::reload(const Given& given) {
+  note("reload", "vm %s, records %s, announce %s", text(given, "vm", "").c_str(),
+       text(given, "records", "").c_str(), text(given, "announce", "").c_str());
+  interpreter_.move_to(text(given, "vm", ""));
+  records_.move_to(text(given, "records", ""));
+  announce_.move_to(text(given, "announce", ""));
+}
+
 bool Host::poll() {
   now_known_ = false;
   io_.restart();
@@ -511,6 +539,8 @@
     return announce_.wait_for_reply(time);
   case Pace::link_again:
     return interpreter_.link_again(time);
+  case Pace::link_leave:
+    return interpreter_.leave_within(time);
   case Pace::call_idle:
     return records_.idle_close(time);
   case Pace::leave_to_end:
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -22,11 +22,12 @@
 
 class Host final : Server, Front::Taker, Interpreter::Taker {
  public:
-  // As read by configuration.hpp.
-  explicit Host(const Given& given);
+  // As read by configuration.hpp. With the path that it was read from, a hang-up signal reads it again.
+  explicit Host(const Given& given, std::string path = {});
   void serve(); // returns once a drain is over; SIGTERM and SIGINT begin one
   bool poll();  // what is ready, without waiting, for a loop of another's; false once a drain is over
   void stop();  // drain now, as at the signal
+  void reload(const Given& given); // go over to its addresses; all else stays as it is
 
  private:
   // What is remembered under a key: which try holds it, which ran, and what came of that.
@@ -91,6 +92,7 @@
   void arm();
   void due();
   bool over() const;
+  void await_hang_up();
   void call_over(OpId id, Nanos begun, Outcome outcome, std::string reply);
   void send_run(OpId id, Op& op);
   Op* open(OpId id); // null if it is answered already
@@ -106,6 +108,8 @@
 
   asio::io_context io_;
   asio::signal_set signals_;
+  asio::signal_set hang_ups_;
+  std::string path_; // of the configuration; empty: not told
   asio::steady_timer timer_;
   Front::Names names_;
   std::vector<Repeats> repeats_;
--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -89,7 +89,7 @@
 
 void Interpreter::connect() {
   const std::uint64_t link = ++link_;
-  open_ = up_ = waiting_room_ = false;
+  open_ = up_ = waiting_room_ = leaving_ = false;
   filled_ = written_ = 0;
   out_.clear();
   asio::error_code ignored;
@@ -109,11 +109,29 @@
   });
 }
 
+// What has been sent is not to get lost between two addresses: nothing more goes out on the old link, and an
+// answer to one more question there proves that the rest is read. Where none comes, the link is made all the
+// same, as after a break.
+void Interpreter::move_to(const std::string& address) {
+  const asio::ip::tcp::endpoint to = endpoint_of(address);
+  if (to == address_) return;
+  address_ = to;
+  if (leaving_) return;
+  if (!up_) return connect();
+  up_ = false;
+  leaving_ = true;
+  question();
+  again_.expires_after(std::chrono::nanoseconds(leave_within_));
+  again_.async_wait([this, link = link_](asio::error_code stopped) {
+    if (!stopped && link == link_) connect();
+  });
+}
+
 // What was written and not read there is lost; the host says what of it may be sent again.
 void Interpreter::broken(const char* why) {
   if (!said_down_) note("interpreter", "link down: %s", why);
   said_down_ = true;
-  open_ = up_ = false;
+  open_ = up_ = leaving_ = false;
   const std::uint64_t link = ++link_;
   asio::error_code ignored;
   socket_.close(ignored);
@@ -216,8 +234,9 @@
     std::from_chars(tag.data(), tag.data() + tag.size(), question);
     if (question > answered_ && question <= asked_) answered_ = question;
     taker_.gauges(values);
+    if (leaving_ && answered_ == asked_) return connect();
     // The answer to the first question of a link comes after all that was replayed.
-    if (!up_ && answered_ > heard_before_ && answered_ == asked_) {
+    if (!up_ && !leaving_ && answered_ > heard_before_ && answered_ == asked_) {
       up_ = true;
       taker_.caught_up(heard_before_);
     }
--- a/node/interpreter.hpp
+++ b/node/interpreter.hpp
@@ -40,7 +40,11 @@
   bool ask_gauges(); // unless the answer to a question before is still out
   std::uint64_t next_question() const { return asked_ + 1; }
 
+  // Goes over to another address of the same interpreter, once all commands so far are known to be read.
+  void move_to(const std::string& address);
+
   void link_again(Nanos rest) { rest_ = rest; }
+  void leave_within(Nanos time) { leave_within_ = time; }
   void flush();
 
  private:
@@ -72,10 +76,12 @@
   std::uint64_t answered_ = 0;
   std::uint64_t heard_before_ = 0; // answered when the link was made
   Nanos rest_ = 0;
+  Nanos leave_within_ = 0;
   bool open_ = false;
   bool up_ = false;
   bool waiting_room_ = false;
   bool said_down_ = false;
+  bool leaving_ = false; // for another address, as soon as the last question is answered
 };
 
 // Texts of base64, with no line breaks; false if there is anything else in them.
--- a/node/records.cpp
+++ b/node/records.cpp
@@ -38,7 +38,7 @@
     return;
   }
   if (fresh) {
-    connections_.emplace(next_, std::make_unique<Connection>(io_, next_));
+    connections_.emplace(next_, std::make_unique<Connection>(io_, address_, next_));
     idle_ones_.push_back(next_++);
   }
   Connection& c = *connections_.at(idle_ones_.back());
@@ -121,7 +121,7 @@
   c.op = no_op;
   c.timer.cancel();
   if (op != no_op) calls_.erase(op);
-  if (keep) {
+  if (keep && c.to == address_) {
     c.idle_since = now_;
     idle_ones_.push_back(c.id);
     // Nothing is to come while it is idle, but its end. Only waits: what comes later belongs to the next
@@ -137,6 +137,12 @@
   if (op != no_op) then(outcome, std::move(reply));
 }
 
+void Records::move_to(const std::string& address) {
+  address_ = endpoint_of(address);
+  while (!idle_ones_.empty() && connections_.at(idle_ones_.back())->to != address_)
+    over(*connections_.at(idle_ones_.back()), Outcome::cut, false);
+}
+
 void Records::give_up(OpId id) {
   const auto at = calls_.find(id);
   if (at == calls_.end()) return;
--- a/node/records.hpp
+++ b/node/records.hpp
@@ -26,16 +26,19 @@
 
   // One for each op at a time: another gives up the first. `then` is called once, never within this call.
   void call(OpId id, Nanos time_out, const std::string& body, Then then);
-  void give_up(OpId id); // without a word; the connection is closed
+  void give_up(OpId id);                    // without a word; the connection is closed
+  void move_to(const std::string& address); // for calls from now on; those in hand end where they are
   void idle_close(Nanos after) { idle_ = after; }
   void sweep(Nanos now);
   std::size_t connections() const { return connections_.size(); }
 
  private:
   struct Connection {
-    Connection(asio::io_context& io, std::uint64_t i) : socket(io), timer(io), id(i) {}
+    Connection(asio::io_context& io, const asio::ip::tcp::endpoint& a, std::uint64_t i)
+        : socket(io), timer(io), to(a), id(i) {}
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
+    asio::ip::tcp::endpoint to;
     std::uint64_t id;
     OpId op; // no_op: idle
     Then then;
--- a/server/main.cpp
+++ b/server/main.cpp
@@ -9,7 +9,7 @@
   try {
     const char* path = std::getenv("RELAY_CONFIG");
     if (!path || !*path) throw std::invalid_argument("RELAY_CONFIG: missing");
-    cometshift::Host(cometshift::read_configuration(path)).serve();
+    cometshift::Host(cometshift::read_configuration(path), path).serve();
     return 0;
   } catch (const std::exception& e) {
     std::fprintf(stderr, "cometshift: %s\n", e.what());
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -89,6 +89,7 @@
 constexpr Nanos report_part = 6;       // of the time that a report counts: two may get lost, with room
 constexpr Nanos idle_call_part = 4;    // of the time after which the other side closes: never a race with it
 constexpr Nanos link_rest = 20 * ms;   // before the link is made anew: no load, short against a run
+constexpr Nanos leave_rest = 200 * ms; // for an old link to answer: many round trips, short against a run
 constexpr Nanos end_rest = 500 * ms;   // for callers to close what takes no new op: some round trips
 constexpr Nanos accept_rest =
     20 * ms; // after a failed accept, as without descriptors: no spinning, no long wait
@@ -169,6 +170,7 @@
   server_.pace(Pace::report, report);
   server_.pace(Pace::report_wait, report);
   server_.pace(Pace::link_again, link_rest);
+  server_.pace(Pace::link_leave, leave_rest);
   server_.pace(Pace::call_idle, span(given, "call_idle_ns", 0) / idle_call_part);
   server_.pace(Pace::leave_to_end, end_rest);
   server_.pace(Pace::silent_close, silent_times * idle_);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -19,6 +19,7 @@
   report,       // between reports to the list of servers
   report_wait,  // for the reply to a report, before it is made anew
   link_again,   // before the link to the machine is made anew
+  link_leave,   // for the answer that proves a link read before it is left for another address
   call_idle,    // a connection for calls may stand idle
   leave_to_end, // between telling a caller that its connection takes no new op and closing it
   silent_close, // a caller's connection may be silent, however it was left
--- a/tests/host.cpp
+++ b/tests/host.cpp
@@ -2,15 +2,17 @@
 #include "configuration.hpp"
 #include "scene.hpp"
 
+#include <csignal>
+
 // A server whose link, records and announce services, and balancers, are played by the test.
 struct World {
+  std::string question;
+  bool over = false;
   Peer machines = Peer::listening(7300), lists = Peer::listening(2379), below = Peer::listening(5432);
   std::unique_ptr<Host> host;
   Peer machine, list, balancer;
-  std::string question;
-  bool over = false;
 
-  static Given given(const std::string& stop_ms) {
+  static std::string json(const std::string& stop_ms, int elsewhere = 0) {
     std::string json =
         R"({"name":"n3","listen":"L","vm":"V","announce":"A","records":"R","seed":"8c1f30d27a5be964",
       "stop_ms":)" +
@@ -21,15 +23,17 @@
       "categories":[{"name":"look","deadline_ns":4000000000,"target_ns":3000000000,"effect":"read_like"},
       {"name":"book","deadline_ns":4000000000,"target_ns":3000000000,"effect":"idempotency_key",
        "key_ttl_ns":9000000000}],"parties":[{"name":"acme","quota_rps":68.0}]}})";
-    const std::pair<const char*, int> ports[] = {
-        {"\"L\"", 5050}, {"\"V\"", 7300}, {"\"A\"", 2379}, {"\"R\"", 5432}};
+    const std::pair<const char*, int> ports[] = {{"\"L\"", 5050},
+                                                 {"\"V\"", 7300 + elsewhere},
+                                                 {"\"A\"", 2379 + elsewhere},
+                                                 {"\"R\"", 5432 + elsewhere}};
     for (const auto& [name, port] : ports) json.replace(json.find(name), 3, '"' + Peer::at(port) + '"');
-    return configuration_in(json);
+    return json;
   }
 
   explicit World(const std::string& stop_ms)
-      : host(std::make_unique<Host>(given(stop_ms))), machine((start(), machines.next())), list(lists.next()),
-        balancer(Peer::to(5050)) {
+      : host(std::make_unique<Host>(configuration_in(json(stop_ms)), "host_test.json")),
+        machine((start(), machines.next())), list(lists.next()), balancer(Peer::to(5050)) {
     machine.line(); // CONNECT
     list.request({});
   }
@@ -39,6 +43,12 @@
   void start() {
     Peer::turn = [this] { over = over || !host->poll(); };
   }
+  static void hang_up(const std::string& file) {
+    std::FILE* out = std::fopen("host_test.json", "w");
+    std::fputs(file.c_str(), out);
+    std::fclose(out);
+    std::raise(SIGHUP), Peer::turn();
+  }
   void link_up(const std::string& notices = {}) {
     machine.say("{\"action\":\"BANNER\",\"code\":\"running\",\"wall_ms\":5000}\n" + notices);
     command();
@@ -188,6 +198,54 @@
     Peer::until("end", [&] { return w.over; });
     std::printf("  over: %d\n", w.over);
   }
+  {
+    World w("3000");
+    say("a hang-up: a file that can't be taken changes nothing; new addresses are gone over to, with what is "
+        "in hand");
+    const auto answered = [&] { std::printf("  balancer: %s\n", w.balancer.frame().c_str()); };
+    w.link_up();
+    w.ask(1, a), w.command();
+    w.ask(2, b), w.command();
+    w.notice(1, "AWAIT", a, ",\"content\":\"Y2FsbA==\"");
+    Peer records = w.below.next();
+    records.request({});
+    const std::string elsewhere = World::json("3000", 1);
+    World::hang_up(elsewhere.substr(0, 300));
+    World::hang_up("{}");
+    w.notice(2, "AWAIT", b, ",\"content\":\"Y2FsbA==\"");
+    Peer second = w.below.next();
+    std::printf("  records: %s\n", second.request({"Op-Of"}).c_str());
+    Peer machines = Peer::listening(7301), lists = Peer::listening(2380), below = Peer::listening(5433);
+    World::hang_up(elsewhere);
+    World::hang_up(elsewhere); // once more changes nothing
+    Peer list = lists.next();
+    std::printf("  announce there: %s\n", list.request({}).c_str());
+    records.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue"); // in hand, ends where it was
+    records.to_end();
+    w.ask(3, c);                             // both cores are free, as the others wait for calls
+    Peer::until("end of the old link", [&] { // once its last question is answered; nothing else is on it
+      if (w.machine.has_line()) {
+        const std::string line = w.machine.line();
+        w.question = line.substr(line.find("\"echo\":\"") + 8);
+        w.question.resize(w.question.find('"'));
+        if (line.find("TOP") == std::string::npos) std::printf("  on the old link: %s\n", line.c_str());
+        w.answer_gauges();
+      }
+      return w.machine.ended();
+    });
+    w.machine = machines.next();
+    std::printf("  link there: %s\n", w.command().c_str());
+    w.question.clear();
+    w.link_up();
+    for (int i = 0; i < 2; ++i) std::printf("  link there: %s\n", w.command().c_str());
+    w.notice(3, "AWAIT", c, ",\"content\":\"Y2FsbA==\"");
+    Peer third = below.next();
+    std::printf("  records there: %s\n", third.request({"Op-Of"}).c_str());
+    w.notice(4, "VALUE", a, fine);
+    answered();
+    second.reset();
+    std::remove("host_test.json");
+  }
   {
     World w("400");
     say("a run that does not end before the kill: its op is answered all the same, and the server ends");
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -272,6 +272,7 @@
   void to_end() {
     until("end", [this] { return ended(); });
   }
+  bool has_line() { return hear(), heard_.find('\n') != std::string::npos; }
   bool has(std::size_t size) { return hear(), heard_.size() >= size; }
   std::string take(std::size_t size) {
     until("bytes", [&] { return has(size); });
