A mark with another body is never answered with the first body's result

At fault: Host::earlier_of compared marks alone, so a stranger's body got the good op's result, or waited for its run. Entries now stand by mark and body. A body under a mark that a run has proven to be another's is refused with nothing run; while nothing is proven both stand, and the interpreter tells.

What never began (its only start turned down, or found its op over) gives its entry back, and repeats that wait for it are taken as new instead of failing (Host::run_over settled them as failed). The host test's new part fails without either.

--- a/node/host.cpp
+++ b/node/host.cpp
@@ -48,6 +48,14 @@
 std::size_t part_of(const Given& given, const char* name, std::size_t unit, std::size_t divisor) {
   return static_cast<std::size_t>(number(given, name, 0)) * unit / divisor;
 }
+// The part of an entry's key that a mark or a subject makes: of none other's is it the beginning.
+std::string key_of(OpTypeId type, std::string_view word) {
+  return std::to_string(type.raw)
+      .append(1, ' ')
+      .append(std::to_string(word.size()))
+      .append(1, ' ')
+      .append(word);
+}
 Nanos unix_time() {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -226,11 +234,20 @@
   const Repeats repeats = repeats_[type.raw];
   const bool keyed = repeats == Repeats::keyed;
   const bool shared = repeats == Repeats::retryable && fresh_for_ > 0 && !subject.empty();
+  std::string at_key; // of a mark: with its body, as others may bring the same mark with another
+  if (keyed)
+    at_key = key_of(type, mark) + std::to_string(std::hash<std::string_view>{}(body));
+  else if (shared)
+    at_key = key_of(type, subject);
   // Against filling the memory, and against a try that comes twice.
   if (ops_.size() >= most_ops_ || ops_.contains(id) || (keyed && keys_.size() >= most_keys_)) {
     note("request", "refused, %s", ops_.contains(id) ? "its txn is known" : "too many");
     return front_.refused(line, 0, false);
   }
+  if (keyed && contested(at_key)) {
+    note("request", "refused, the mark of another op");
+    return front_.refused(line, 0, true);
+  }
   door = std::min(door + shift_, now());
   Nanos waited = std::min(now() - door, longest_wait);
   if (limit > 0) waited = std::min(waited, limit - 1); // patience is told as at least something
@@ -238,12 +255,9 @@
   op.line = line;
   op.type = type;
   op.body = body;
-  OpId earlier = no_op;
-  if (keyed || shared) {
-    op.key = std::to_string(type.raw) + (keyed ? "k" : "s");
-    op.key += keyed ? mark : subject;
-    earlier = earlier_of(op.key, keyed, door);
-  }
+  op.door = door;
+  op.key = std::move(at_key);
+  const OpId earlier = op.key.empty() ? no_op : earlier_of(op.key, keyed, door);
   lines_[line.connection][line.stream] = id;
   const KeyId key = subject.empty()
                         ? no_key
@@ -293,6 +307,7 @@
 }
 
 void Host::send_run(OpId id, Op& op) {
+  ++op.starts;
   op.run = Op::Run::sent;
   op.run_known = interpreter_.next_question();
   interpreter_.run(id, names_.op_types[op.type.raw], op.body);
@@ -344,9 +359,15 @@
   op.run = Op::Run::over;
   op.at_call = false;
   records_.give_up(id);
-  if (Kept* entry = entry_of(id); entry && entry->ran == id)
+  // That nothing was started is sure only of what was sent once at the most, or the first may have been read.
+  const bool never_begun = outcome == Outcome::moot && !op.heard && op.starts <= 1;
+  if (Kept* entry = entry_of(id); entry && entry->ran == id && never_begun)
+    unbegun(*entry);
+  else if (entry && entry->ran == id)
     settle(*entry, outcome == Outcome::done ? Kept::State::done : Kept::State::failed,
            outcome == Outcome::done ? result : std::string());
+  if (Kept* entry = entry_of(id); entry && entry->ran == id)
+    entry->proven = entry->proven || outcome == Outcome::done;
   if (!op.answered && outcome != Outcome::halted) {
     if (outcome == Outcome::done)
       front_.served(op.line, std::move(result));
@@ -379,6 +400,7 @@
   if (at == ops_.end() || at->second.run != Op::Run::sent || at->second.at_call)
     return note("notice", "passed over, a call of a run that is not known");
   at->second.heard = at->second.at_call = true;
+  if (Kept* entry = entry_of(id); entry && entry->ran == id) entry->proven = true;
   at->second.call = std::move(body);
   choice_->call_wanted(now(), id);
 }
@@ -416,6 +438,17 @@
   return at == keys_.end() ? nullptr : &at->second;
 }
 
+// Against a stranger's op with the mark of a good one: what a run has proven good keeps its mark to itself.
+// While nothing is proven both stand, each with its own body, and the interpreter tells which it knows.
+bool Host::contested(const std::string& key) const {
+  const std::size_t word = key.find(' ') + 1;
+  const std::size_t mark_end = key.find(' ', word) + 1 + std::stoul(key.substr(word));
+  const std::string_view mark = std::string_view(key).substr(0, mark_end);
+  for (auto at = keys_.lower_bound(std::string(mark)); at != keys_.end() && at->first.starts_with(mark); ++at)
+    if (at->second.proven && at->first != key) return true;
+  return false;
+}
+
 OpId Host::earlier_of(const std::string& key, bool keyed, Nanos door) {
   const auto at = keys_.find(key);
   if (at == keys_.end()) return no_op;
@@ -445,8 +478,16 @@
 void Host::forget_key(OpId id) {
   Kept* entry = entry_of(id);
   if (!entry || entry->holder != id) return;
-  settle(*entry, Kept::State::failed, {});
-  erase(ops_.at(id).key);
+  unbegun(*entry);
+}
+
+// Against failing those that wait for a run that never was: they are taken as new.
+void Host::unbegun(Kept& entry) {
+  for (const OpId id : entry.waiting)
+    if (Op* op = open(id)) op->never_begun = true;
+  const std::string key = entry.end->second;
+  settle(entry, Kept::State::failed, {});
+  erase(key);
 }
 
 // The one place where an entry is given back, with its result.
@@ -493,6 +534,11 @@
       Op* op = open(id);
       if (!op || !op->reusing) continue;
       op->reusing = false;
+      if (std::exchange(op->never_begun, false)) {
+        const bool keyed = repeats_[op->type.raw] == Repeats::keyed;
+        choice_->unbegun(now(), id, earlier_of(op->key, keyed, op->door));
+        continue;
+      }
       const auto at = keys_.find(op->key);
       const bool done = at != keys_.end() && at->second.state == Kept::State::done;
       if (done)
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -16,7 +16,6 @@
 #include <optional>
 #include <queue>
 #include <string>
-#include <unordered_map>
 
 namespace cometshift {
 
@@ -37,6 +36,7 @@
     Nanos until = 0;    // of arrival of repeats
     Nanos ended_at = 0; // of the run
     enum class State { held, running, done, failed } state = State::held;
+    bool proven = false; // the interpreter knows it: its run was heard of
     std::string result;
     std::vector<OpId> waiting;                       // ops to be answered with the result
     std::multimap<Nanos, std::string>::iterator end; // when to look whether this is over
@@ -46,10 +46,13 @@
     OpTypeId type;
     std::string body;
     std::string key; // empty: none
+    Nanos door = 0;
     bool answered = false;
     bool reusing = false;
     enum class Run { none, wanted, sent, over } run = Run::none;
     std::uint64_t run_known = 0; // an answer to this question proves that the start was read
+    bool never_begun = false;    // of an op that waits: what it repeats was not
+    int starts = 0;              // sent
     bool heard = false;          // the run has been heard of
     bool at_call = false;
     std::string call;                 // what the run wants to ask below
@@ -99,8 +102,10 @@
   void answered(OpId id, Op& op);
   void release(OpId id);   // forgets an op of which nothing is left to do
   Kept* entry_of(OpId id); // under its key, whoever holds it; null if there is none
+  bool contested(const std::string& key) const;
   OpId earlier_of(const std::string& key, bool keyed, Nanos door);
   void settle(Kept& entry, Kept::State state, std::string result);
+  void unbegun(Kept& entry);
   void erase(const std::string& key);
   void finish_reused();
   void forget_old();
@@ -120,8 +125,8 @@
 
   std::map<OpId, Op> ops_;
   std::map<ConnectionId, std::map<StreamId, OpId>> lines_; // of the ops not answered, by connection
-  std::unordered_map<std::string, Kept> keys_;
-  std::multimap<Nanos, std::string> key_ends_; // one for each of them
+  std::map<std::string, Kept> keys_;                       // entries of one mark stand together
+  std::multimap<Nanos, std::string> key_ends_;             // one for each of them
   std::size_t result_bytes_ = 0;
   std::size_t most_results_;
   std::size_t most_ops_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -440,6 +440,7 @@
   const bool back = outcome == Outcome::halted && !op.answered; // fell back into the hold
   op.paused = op.paused || (back && halt_ == Halt::pause);
   if (!back || !op.paused) memory_kb_ -= op.held_kb * (run_factor_ - 1);
+  if (outcome == Outcome::moot) keys_.erase(op.id); // nothing was begun
   if (outcome == Outcome::done && !op.hung) {
     OpType& type = types_[op.type.raw];
     const Nanos core = static_cast<Nanos>(static_cast<double>(op.on_core) / op.hint);
@@ -781,6 +782,7 @@
   op.type = type_id;
   op.tenant = tenant;
   op.earlier = earlier;
+  op.key = key;
   op.arrived = now - waited;
   op.guess = static_cast<double>(hint) / static_cast<double>(second);
   op.hint = hint > 0 ? std::pow(op.guess, guess_slope_.value(guess_trust, guess_weight)) : 1;
@@ -812,20 +814,36 @@
   if (memory_with(0) > memory_part * memory_limit_)
     return earlier != no_op ? give_up(op) : turn_away(now, op);
   if (earlier != no_op && reuse_earlier(now, op)) return;
-  if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op);
   // A big op that is likelier than not to be late on these cores is better off on faster ones. Only first
   // tries are sent on, so that none is sent round, and only where further tries are told from them.
   if (marks_again_ && !again && hint > 0 && !winnable(op, now, sent_on_sureness) &&
       now + run_time(op, sent_on_sureness) / faster_elsewhere <= win_by(op)) {
     return turn_away(now, op);
   }
+  admit(now, op);
+}
+
+void Choice::unbegun(Nanos now, OpId id, OpId earlier) {
+  pass_to(now);
+  const auto at = ops_.find(id);
+  if (at == ops_.end() || at->second.stage != Stage::reusing) return;
+  Op& op = at->second;
+  op.earlier = earlier;
+  op.stage = Stage::held;
+  if (earlier == no_op || !reuse_earlier(now, op)) admit(now, op);
+}
+
+// Nacks an op or puts it into the hold.
+void Choice::admit(Nanos now, Op& op) {
+  const OpType& type = types_[op.type.raw];
+  if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op);
   const bool keyed = type.repeats == Repeats::keyed;
-  const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && key != no_key;
+  const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && op.key != no_key;
   if (keyed && !keep(now, op)) return turn_away(now, op);
   if (shared && memory_with(key_kb_) < shared_part * memory_limit_) {
-    keys_[id] = op.due + fresh_for_;
+    keys_[op.id] = op.due + fresh_for_;
     op.kept = true;
-    server_.keep_key(id, op.due + fresh_for_ - now);
+    server_.keep_key(op.id, op.due + fresh_for_ - now);
   }
   held_.push_back(&op);
   settle(now);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -60,6 +60,8 @@
   // An op has been read. Absent: 0 for spans, hint and `earlier`, `no_key` for the key.
   void op_read(Nanos now, OpId id, OpTypeId type, TenantId tenant, KeyId key, CallerId caller, Nanos patience,
                Nanos waited, Nanos hint, double held_kb, double rank, bool again, OpId earlier);
+  // What an op was to reuse was never begun; `earlier` is what it repeats now.
+  void unbegun(Nanos now, OpId id, OpId earlier);
   void op_gone(Nanos now, OpId id); // nobody waits for its answer any more
   void run_ended(Nanos now, OpId id, Outcome outcome, Nanos lag);
   void call_wanted(Nanos now, OpId id);
@@ -108,6 +110,7 @@
   bool keep(Nanos now, Op& op);
   void drop_key(const Op& op);
   bool reuse_earlier(Nanos now, Op& op);
+  void admit(Nanos now, Op& op);
   // Calls.
   void park(Op& op);
   void place_calls(Nanos now);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -79,6 +79,7 @@
   OpTypeId type;
   TenantId tenant;
   OpId earlier;           // the kept op that this one repeats
+  KeyId key = no_key;     // what it reads
   Nanos arrived = 0;      // at the machine
   Nanos first_seen = 0;   // when its first try is thought to have begun
   Nanos due = 0;          // it must be answered by then
--- a/tests/host.cpp
+++ b/tests/host.cpp
@@ -69,14 +69,14 @@
       answer_gauges();
     }
   }
-  void ask(std::uint32_t stream, const std::string& txn, Fields fields = {}) {
+  void ask(std::uint32_t stream, const std::string& txn, Fields fields = {}, const char* body = "body") {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     fields.emplace_back("door",
                         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
-    balancer.say(::ask(stream, txn, fields));
+    balancer.say(::ask(stream, txn, fields, body));
   }
-  void book(std::uint32_t stream, const std::string& txn, const char* mark) {
-    ask(stream, txn, {{"verb", "book"}, {"unique", mark}});
+  void book(std::uint32_t stream, const std::string& txn, const char* mark, const char* body = "body") {
+    ask(stream, txn, {{"verb", "book"}, {"unique", mark}}, body);
   }
   void notice(int pos, const char* action, const std::string& txn, const std::string& more) {
     machine.say("{\"action\":\"" + std::string(action) + "\",\"pos\":" + std::to_string(pos) + ",\"uid\":\"" +
@@ -198,6 +198,47 @@
     Peer::until("end", [&] { return w.over; });
     std::printf("  over: %d\n", w.over);
   }
+  {
+    World w("3000");
+    const auto commanded = [&] { std::printf("  link: %s\n", w.command().c_str()); };
+    const auto answered = [&] { std::printf("  balancer: %s\n", w.balancer.frame().c_str()); };
+    w.link_up();
+    say("the mark of another op with another body: refused, nothing run; the good op keeps its result");
+    w.book(1, a, "m1");
+    commanded();
+    w.notice(1, "AWAIT", a, ",\"content\":\"Y2FsbA==\"");
+    w.book(2, b, "m1", "other");
+    answered();
+    w.notice(2, "VALUE", a, fine);
+    answered();
+    w.book(3, c, "m1", "other");
+    answered();
+    w.book(4, d, "m1");
+    answered();
+
+    say("a stranger holds a mark first, and is not known to the interpreter: the good op runs, its repeat "
+        "waits for it");
+    w.book(5, e, "m2", "other");
+    commanded();
+    w.book(6, f, "m2");
+    commanded();
+    w.machine.say("{\"action\":\"ERROR\",\"code\":\"APPLY\",\"uid\":\"" + e + "\"}\n");
+    answered();
+    w.book(7, "bbbbbbbbbbbbbbb1", "m2");
+    w.notice(3, "VALUE", f, fine);
+    answered(), answered();
+
+    say("what the first try was started for was over before: its repeats were never run, so one is");
+    w.book(8, "bbbbbbbbbbbbbbb2", "m3");
+    commanded();
+    w.book(9, "bbbbbbbbbbbbbbb3", "m3");
+    w.book(10, "bbbbbbbbbbbbbbb4", "m3");
+    w.notice(4, "VALUE", "bbbbbbbbbbbbbbb2", ",\"code\":\"late\",\"wall_ms\":0");
+    answered();
+    commanded();
+    w.notice(5, "VALUE", "bbbbbbbbbbbbbbb3", fine);
+    answered(), answered();
+  }
   {
     World w("3000");
     say("a hang-up: a file that can't be taken changes nothing; new addresses are gone over to, with what is "
