Where the table is full, mute connections go first, then idle ones; half frames and strikes end one

The module says whose connection goes where no more can be held (mute, idle, newest), how long a first frame or the rest of one may take, and after how many ops in a row that no caller sends nothing more is read (Server::when_full, Pace::first_word). Before a close what lies unread is read. A peer that goes on after its end is not read any more, a deaf one neither; input buffers are given back when empty; 64 streams out of order are remembered, not 1,024. Silent connections end after the site's idle time, not four of them. The front test's new parts fail without it.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t most_body = 2 * 1024;   // of a request
 constexpr std::size_t most_open = 32;         // requests on a connection
 constexpr std::size_t most_text = 64;         // of a mark or a subject
-constexpr std::size_t most_used = 1024;       // streams remembered above those that are all used
+constexpr std::size_t most_used = 64;         // streams remembered above those that are all used
 constexpr std::size_t most_pending =
     256 * 1024;                         // bytes for a connection: 32 results fit; then its input waits
 constexpr std::size_t gathered = 32;    // pieces in one write
@@ -49,27 +49,59 @@
 
 // ---- connections come and go
 
+// Nothing is due on it.
+bool Front::spare(const Connection& c) const { return c.open.empty() && c.waiting == 0; }
+
+// Against a table full of connections that say nothing while callers wait outside: one goes, in the order
+// told. False if it is the newest that has to.
+bool Front::make_room() {
+  for (const Way way : order_) {
+    if (way == Way::newest) return false;
+    for (;;) {
+      Connection* goes = nullptr;
+      for (auto& [id, c] : connections_)
+        if (spare(*c) && c->heard == (way == Way::idle) && (!goes || c->last < goes->last)) goes = c.get();
+      if (!goes) break;
+      const ConnectionId id = goes->id;
+      readable(*goes); // against closing over a request that lies unread
+      const auto at = connections_.find(id);
+      if (at == connections_.end()) return true;
+      if (!spare(*at->second) || at->second->heard != (way == Way::idle)) continue;
+      tell_no_more(*at->second);
+      write(*at->second);
+      if (const auto still = connections_.find(id); still != connections_.end())
+        drop(*still->second, nullptr);
+      return true;
+    }
+  }
+  return false;
+}
+
 // Takes all that wait to be accepted.
 asio::error_code Front::accept_all() {
   asio::error_code error;
-  while (connections_.size() < most_connections_) {
+  for (;;) {
     asio::ip::tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error) break;
+    if (connections_.size() >= most_connections_ && !make_room()) {
+      note("accept", "no room, closed at once");
+      continue; // with nothing read: what was written on it has not run
+    }
     asio::error_code ignored;
     socket.non_blocking(true, ignored);
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const ConnectionId id{next_++};
     Connection& c =
         *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
-    c.last = now_;
+    c.last = c.begun = now_;
     readable(c);
   }
   return error;
 }
 
 void Front::accept() {
-  if (accepting_ || doors_closed_ || connections_.size() >= most_connections_) return;
+  if (accepting_ || doors_closed_) return;
   accepting_ = true;
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
     accepting_ = false;
@@ -94,7 +126,6 @@
   waiting_ -= c.waiting;
   connections_.erase(id);
   for (const StreamId stream : open) taker_.line_lost({id, stream});
-  accept();
 }
 
 bool Front::over(const Connection& c) const {
@@ -107,9 +138,17 @@
   const Nanos least = std::min(idle_ > 0 ? idle_ : silent_, silent_ > 0 ? silent_ : idle_);
   for (auto& [id, c] : connections_) {
     if (least > 0 && c->open.empty() && now_ - c->last >= least) tell_no_more(*c);
+    // Against peers that say nothing, or that never end what they began, however it trickles.
+    if (first_word_ > 0 && c->begun >= 0 && now_ - c->begun >= first_word_ && !c->deaf)
+      c->heard || c->filled > 0 ? void(unreadable(*c, "a frame that does not end")) : tell_no_more(*c);
     if (over(*c)) ended.push_back(id);
   }
-  for (const ConnectionId id : ended) drop(*connections_.at(id), nullptr);
+  for (const ConnectionId id : ended) {
+    Connection& c = *connections_.at(id);
+    if (!c.peer_ended) readable(c); // against closing over a request that lies unread
+    if (const auto at = connections_.find(id); at != connections_.end() && over(*at->second))
+      drop(*at->second, nullptr);
+  }
 }
 
 void Front::tell_no_more(Connection& c) {
@@ -131,7 +170,7 @@
 // ---- bytes in
 
 void Front::await_bytes(Connection& c) {
-  if (c.reading || c.peer_ended || c.waiting > most_pending) return;
+  if (c.reading || c.peer_ended || c.deaf || c.waiting > most_pending) return;
   c.reading = true;
   c.socket.async_wait(asio::socket_base::wait_read, [this, id = c.id](asio::error_code error) {
     const auto at = connections_.find(id);
@@ -143,6 +182,7 @@
 }
 
 void Front::readable(Connection& c) {
+  if (c.deaf) return;
   if (!c.in) c.in = std::make_unique<char[]>(kept_bytes);
   for (int turn = 0; turn < reads_a_turn; ++turn) {
     asio::error_code error;
@@ -155,11 +195,12 @@
       break;
     }
     if (error) return drop(c, error == asio::error::connection_reset ? nullptr : error.message().c_str());
-    c.last = now_;
+    if (c.begun < 0) c.begun = now_;
     c.filled += n;
     parse(c);
-    if (n < room) break;
+    if (n < room || c.deaf) break;
   }
+  if (c.filled == 0) c.in.reset(); // most connections are idle
   await_bytes(c);
 }
 
@@ -175,6 +216,7 @@
       const std::size_t some = std::min(c.skip, left);
       c.skip -= some;
       from += some;
+      if (c.skip == 0) c.begun = from < c.filled ? now_ : -1;
       continue;
     }
     if (left < 4) break;
@@ -192,6 +234,9 @@
       continue;
     from += whole ? size : frames::head_size;
     if (!whole) c.skip = size - frames::head_size;
+    c.heard = true;
+    c.last = now_;
+    c.begun = c.skip > 0 || from < c.filled ? now_ : -1;
   }
   std::copy(c.in.get() + from, c.in.get() + c.filled, c.in.get());
   c.filled -= from;
@@ -208,6 +253,12 @@
   return false;
 }
 
+void Front::strike(Line line) {
+  const auto at = connections_.find(line.connection);
+  if (at != connections_.end() && ++at->second->strikes == most_strikes_)
+    unreadable(*at->second, "too many ops that can't be taken");
+}
+
 bool Front::use_stream(Connection& c, StreamId stream) {
   if (stream <= c.used_to || !c.used.insert(stream).second) return false;
   // Against a peer that leaves gaps for ever: its oldest gaps count as used.
@@ -220,6 +271,8 @@
 }
 
 bool Front::frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole) {
+  // Against peers that go on for ever after they were told to end.
+  if (c.told_at >= 0 && now_ - c.told_at >= leave_to_end_) return unreadable(c, "goes on after its end");
   if (type == frames::ask) return ask(c, stream, payload, whole);
   if (type != frames::check) return unreadable(c, "an unknown type");
   std::string_view rest;
@@ -309,6 +362,7 @@
   note("request", "refused, %s", why);
   c.open.insert(stream);
   refused({c.id, stream}, 0, true);
+  strike({c.id, stream});
   return true;
 }
 
@@ -327,6 +381,7 @@
     frames::put_answer(out, frames::answer, line.stream.raw, frames::good, feedback_, 0, false,
                        result.size());
   });
+  c->strikes = 0;
   c->waiting += result.size();
   waiting_ += result.size();
   c->out.push_back(std::move(result));
@@ -378,7 +433,7 @@
     }
     c.written = n;
   }
-  if (over(c)) return drop(c, nullptr);
+  if (c.peer_ended && over(c)) return drop(c, nullptr); // others by sweep()
   await_bytes(c);
 }
 
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -2,6 +2,7 @@
 // streams are open; it is a seam: another protocol would stand here and hand over the same ops.
 #pragma once
 
+#include "choice.hpp"
 #include "ids.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -54,6 +55,13 @@
   void feedback(double value) { feedback_ = value; }
   void idle_close(Nanos after) { idle_ = after; }
   void silent_close(Nanos after) { silent_ = after; }
+  void first_word(Nanos time) { first_word_ = time; }
+  void when_full(std::vector<Way> order, int strikes) {
+    order_ = std::move(order);
+    most_strikes_ = strikes;
+  }
+  // Its op is none that a caller would send: too many of them, and its connection ends.
+  void strike(Line line);
   void leave_to_end(Nanos time) { leave_to_end_ = time; }
   void accept_again(Nanos rest) { accept_again_ = rest; }
   void close_doors();
@@ -76,7 +84,10 @@
     std::set<StreamId> open;
     StreamId used_to;        // all streams to it have been used
     std::set<StreamId> used; // those above it
-    Nanos last = 0;
+    Nanos last = 0;          // something whole was read, or answered
+    Nanos begun = 0;         // waits since then for the rest of a frame, or for its first
+    bool heard = false;      // has brought a whole frame
+    int strikes = 0;         // in a row
     Nanos told_at = -1;      // that it takes no new op; -1: not told
     bool reading = false;    // a wait for bytes is out
     bool writing = false;    // a wait for room is out
@@ -87,6 +98,8 @@
 
   void accept();
   asio::error_code accept_all();
+  bool make_room();
+  bool spare(const Connection& c) const;
   void await_bytes(Connection& c);
   void readable(Connection& c);
   void parse(Connection& c);
@@ -121,6 +134,9 @@
   Nanos idle_ = 0; // 0: connections may stay silent
   Nanos silent_ = 0;
   Nanos leave_to_end_ = 0;
+  Nanos first_word_ = 0;
+  std::vector<Way> order_;
+  int most_strikes_ = 0;
   Nanos accept_again_ = 0;
   double feedback_ = -1;
   bool good_ = true;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -246,7 +246,8 @@
   }
   if (keyed && contested(at_key)) {
     note("request", "refused, the mark of another op");
-    return front_.refused(line, 0, true);
+    front_.refused(line, 0, true);
+    return front_.strike(line);
   }
   door = std::min(door + shift_, now());
   Nanos waited = std::min(now() - door, longest_wait);
@@ -384,8 +385,10 @@
        command.data());
   // A start that was none: nothing was begun, and nothing else will be heard of it.
   if (const auto at = ops_.find(id);
-      command == "APPLY" && at != ops_.end() && !at->second.heard && at->second.run == Op::Run::sent)
+      command == "APPLY" && at != ops_.end() && !at->second.heard && at->second.run == Op::Run::sent) {
+    front_.strike(at->second.line);
     run_over(id, Outcome::moot, 0, {});
+  }
 }
 
 void Host::gauges(std::span<const double> values) {
@@ -593,6 +596,8 @@
     return front_.leave_to_end(time);
   case Pace::silent_close:
     return front_.silent_close(time);
+  case Pace::first_word:
+    return front_.first_word(time);
   case Pace::accept_again:
     return front_.accept_again(time);
   case Pace::settle_stray:
@@ -601,6 +606,10 @@
   }
 }
 
+void Host::when_full(std::span<const Way> order, int strikes) {
+  front_.when_full({order.begin(), order.end()}, strikes);
+}
+
 void Host::close_doors() { doors_closed_ = true; }
 
 } // namespace cometshift
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -76,6 +76,7 @@
   void wake_at(Nanos at, WakeId name) override;
   void log(std::string_view words) override;
   void pace(Pace what, Nanos time) override;
+  void when_full(std::span<const Way> order, int strikes) override;
   void close_doors() override;
 
   // What the sockets bring.
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,6 +14,7 @@
 #include "choice.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace cometshift {
@@ -95,7 +96,11 @@
     20 * ms; // after a failed accept, as without descriptors: no spinning, no long wait
 constexpr Nanos stray_rest =
     2 * second;                   // by then both sides know that an op is over, and most runs have ended
-constexpr Nanos silent_times = 4; // the idle time after which callers close: one silent so long has no caller
+constexpr Nanos silent_times = 1; // the idle time after which callers close: one silent so long has no caller
+constexpr Nanos first_word = 1500 * ms; // for a frame to come whole: callers speak when they connect
+constexpr int strikes = 8; // ops in a row that no caller sends, on one connection: no more is read of it
+// One that never spoke is no caller's, an idle one costs a new connection at the most, a new one an op.
+constexpr std::array full_order{Way::unheard, Way::idle, Way::newest};
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -174,6 +179,8 @@
   server_.pace(Pace::call_idle, span(given, "call_idle_ns", 0) / idle_call_part);
   server_.pace(Pace::leave_to_end, end_rest);
   server_.pace(Pace::silent_close, silent_times * idle_);
+  server_.pace(Pace::first_word, first_word);
+  server_.when_full(full_order, strikes);
   server_.pace(Pace::accept_again, accept_rest);
   server_.pace(Pace::settle_stray, stray_rest);
   server_.health(true, true);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -23,10 +23,14 @@
   call_idle,    // a connection for calls may stand idle
   leave_to_end, // between telling a caller that its connection takes no new op and closing it
   silent_close, // a caller's connection may be silent, however it was left
+  first_word,   // a caller's connection may take for its first frame, or for the rest of one
   accept_again, // after a connection could not be accepted
   settle_stray, // from an op's answer to asking how its run stands, if nothing was heard
 };
 
+// Whose connection goes where no more can be held; the longest silent first.
+enum class Way { unheard, idle, newest };
+
 // What a server can be told to do.
 class Server {
  public:
@@ -47,6 +51,7 @@
   virtual void log(std::string_view words) = 0;
   // Only for servers on sockets.
   virtual void pace(Pace, Nanos) {}
+  virtual void when_full(std::span<const Way> /*order*/, int /*strikes*/) {} // strikes: ops no caller sends
   virtual void close_doors() {} // no new ops on any connection, and no new connections
 };
 
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -34,6 +34,7 @@
               told};
   Bench() {
     front.accept_again(ms);
+    front.when_full({Way::unheard, Way::idle, Way::newest}, 4000);
     front.leave_to_end(second);
     Peer::turn = [this] {
       io.restart();
@@ -177,15 +178,29 @@
     std::printf("  dropped: %s\n", asked > 16 ? "after more than 64 KB" : "too early");
   }
 
-  say("no more connections than allowed; the next is taken when one ends");
+  say("no room: the mute one goes, then the longest idle; where each has an op open, the newest is closed");
   {
-    Peer three[] = {Peer::to(5050), Peer::to(5050), Peer::to(5050)};
-    Peer::until("connections", [&] { return b.front.connections() == 4; });
+    const auto asking = [&](Peer& peer) { return b.asked(peer, ask(++stream, txn)); };
+    Peer idle = Peer::to(5050), mute = Peer::to(5050), busy = Peer::to(5050);
+    std::vector<Line> open{asking(busy)};
+    idle.say(frame_of(frames::check, 1, {}));
+    heard(idle);
+    b.now += second;
+    Peer::turn();
+    good.say(frame_of(frames::check, 1, {}));
+    heard(good);
     Peer fifth = Peer::to(5050);
-    fifth.say(frame_of(frames::check, 1, {}));
+    heard(mute), mute.to_end();
+    open.push_back(asking(fifth));
+    Peer sixth = Peer::to(5050);
+    heard(idle), idle.to_end();
+    open.push_back(asking(sixth));
+    open.push_back(asking(good));
+    Peer seventh = Peer::to(5050);
+    seventh.to_end();
     std::printf("  %zu connections\n", b.front.connections());
-    three[0].reset();
-    heard(fifth);
+    for (const Line line : open) b.front.served(line, "still here");
+    heard(busy), heard(fifth), heard(sixth), heard(good);
   }
   Peer::until("ends", [&] { return b.front.connections() == 1; });
 
@@ -222,6 +237,50 @@
     heard(good);
   }
 
+  say("says nothing, or never ends a frame however it trickles: told, then closed; what idles between frames "
+      "stays");
+  {
+    b.front.first_word(2 * second);
+    Peer mute = Peer::to(5050), half = Peer::to(5050);
+    half.say(frame_of(frames::check, 1, {}));
+    heard(half);
+    for (const char byte : ask(5, txn).substr(0, 4)) {
+      half.say(std::string(1, byte));
+      b.now += second / 2;
+      Peer::turn();
+    }
+    heard(mute), heard(half), heard(half);
+    b.now += second;
+    mute.to_end(), half.to_end();
+    std::printf("  %zu connections\n", b.front.connections());
+  }
+
+  say("goes on though it was told to end, or brings op after op that nobody would send: no more is read");
+  {
+    const Line kept = b.asked(good, ask(++stream, txn));
+    Peer late = Peer::to(5050);
+    late.say(frame_of(frames::check, 1, {}));
+    heard(late);
+    b.front.idle_close(second);
+    b.now += second;
+    heard(late);
+    const Line crossing = b.asked(late, ask(2, txn));
+    b.now += second;
+    Peer::turn();
+    late.say(ask(3, txn));
+    b.front.served(crossing, "settled");
+    heard(late), heard(late);
+    b.front.when_full({Way::newest}, 3);
+    Peer again = Peer::to(5050);
+    for (std::uint32_t i = 1; i < 9; ++i) again.say(ask(i, "no id"));
+    for (int i = 0; i < 5; ++i) heard(again);
+    b.now += second;
+    late.to_end(), again.to_end();
+    b.front.idle_close(0);
+    b.front.served(kept, "still here");
+    heard(good);
+  }
+
   say("doors closed: what was connected before is told so, still read and answered, then closed; no others");
   const Line line = b.asked(good, ask(++stream, txn));
   const auto turn = std::exchange(Peer::turn, [] {});
