Calls in hand are bounded by their latency; none starts into a call line that is too long

At fault: Choice::place_calls knew no bound but the mean share (call_fits), and Choice::may_start and plan did not see the line of calls.

Now: at most 0.4 of the share in hand, fewer while the usual call takes twice its base; the line of calls counts in the plan of the hold; no op starts into a line over a quarter of its target latency; those that can still be in time call first. A retryable op whose reply does not come calls again after some usual times, while calls get lost and are quick. A trial of the breaker ends with its run (trial_out_ stayed true for good: after_run). A 409 is no failure of what lies below.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,29 +42,30 @@
 constexpr Nanos base_rise = 256;       // part of it a base rises a run: hundreds, so a jam doesn't become one
 constexpr double planned_sureness = 0.7; // part of runs that take no longer than planned for
 constexpr double sent_on_sureness = 0.5; // a run that long must fit, or the op is sent on to another server
-constexpr double hold_part = 0.25;   // of the target latency: a longer wait leaves no time to go elsewhere
-constexpr double chance_part = 0.75; // the same while nacks are rare: a line by chance is soon gone
-constexpr double rare_nacks =
-    0.125;                      // part of the ops read: under it nacks are the rarer, the longer lines stay
-constexpr Nanos least_left = 4; // part of a run that a paused one is thought to need at the least
-constexpr Nanos spare_runs = 2; // of the urgent op: a run that is paused for it must have more to spare
-constexpr double last_sureness = 0.2;    // under this chance of being in time an op is not begun
-constexpr Nanos faster_elsewhere = 2;    // times: another server may be as much faster than this one
-constexpr double guess_trust = 0.5;      // of the spread of a caller's guess, before its worth is known
+constexpr double hold_part = 0.25;    // of the target latency: a longer wait leaves no time to go elsewhere
+constexpr double chance_part = 0.75;  // the same while nacks are rare: a line by chance is soon gone
+constexpr double rare_nacks = 0.125;  // part of the ops read: under it, the rarer, the longer lines stay
+constexpr Nanos least_left = 4;       // part of a run that a paused one is thought to need at the least
+constexpr Nanos spare_runs = 2;       // of the urgent op: a run that is paused for it must have more to spare
+constexpr double last_sureness = 0.2; // under this chance of being in time an op is not begun
+constexpr Nanos faster_elsewhere = 2; // times: another server may be as much faster than this one
+constexpr double guess_trust = 0.5;   // of the spread of a caller's guess, before its worth is known
 constexpr double guess_step = 1.0 / 128; // of a run in that worth: some hundred runs make it
 constexpr double guess_weight = 8;       // ops that this trust weighs as much as
 constexpr double unknown_run = 0.25;     // of the target latency: a run's length before any was seen
 constexpr Nanos call_tail = 2;      // times the 95th of 100 calls after a failure, four else: longer is lost
 constexpr double slow_call = 0.95;  // part of the calls that are shorter: the tail is looked at from there
 constexpr double brief_call = 0.05; // of a run: waiting it out idles a core less than a run too many costs
-constexpr double lone_part = 0.5; // of the share that a lone short call may find used: it adds little itself
-constexpr int call_steps = 4;     // points of a call's time at which the mean in hand is looked at
-constexpr Nanos first_call =
-    200 * ms;                       // a call's time-out where little fits and none was seen: some round trips
-constexpr int failures_to_open = 5; // calls failing in a row: as the operators' staff know it
-constexpr Nanos open_first = 250 * ms; // the breaker's first rest, then doubled: some round trips
-constexpr Nanos open_most =
-    second; // its longest: one call a second is no load, and longer would outlast the trouble
+constexpr double lone_part = 0.5;  // of the share that a lone short call may find used: it adds little itself
+constexpr double calls_most = 0.4; // of the share: what lies below slows long before it breaks
+constexpr double calls_least = 0.15; // of the share, in hand at once however slow they are: it crowds nothing
+constexpr double few_calls = 2;      // in hand at once however small the share: the budget guards its mean
+constexpr double calls_get_lost = 0.02; // part of them: one of the last dozen
+constexpr int call_steps = 4;           // points of a call's time at which the mean in hand is looked at
+constexpr Nanos first_call = 200 * ms;  // a call's time-out where little fits, none seen: some round trips
+constexpr int failures_to_open = 5;     // calls failing in a row: as the operators' staff know it
+constexpr Nanos open_first = 250 * ms;  // the breaker's first rest, then doubled: some round trips
+constexpr Nanos open_most = second; // its longest: a call a second is no load, more would outlast the trouble
 constexpr Nanos count_span = 500 * ms; // over which nacks are counted for what callers are told
 constexpr double rate_keep = 0.8;      // part of the rate before that a count leaves: about two seconds
 constexpr double openness_step = 0.05; // raised a count without nacks: back within ten seconds
@@ -92,14 +93,11 @@
 constexpr Nanos link_rest = 20 * ms;   // before the link is made anew: no load, short against a run
 constexpr Nanos leave_rest = 200 * ms; // for an old link to answer: many round trips, short against a run
 constexpr Nanos end_rest = 500 * ms;   // for callers to close what takes no new op: some round trips
-constexpr Nanos accept_rest =
-    20 * ms; // after a failed accept, as without descriptors: no spinning, no long wait
-constexpr Nanos stray_rest =
-    2 * second;                   // by then both sides know that an op is over, and most runs have ended
-constexpr Nanos silent_times = 1; // the idle time after which callers close: one silent so long has no caller
-constexpr Nanos first_word = 1500 * ms; // for a frame to come whole: callers speak when they connect
+constexpr Nanos accept_rest = 20 * ms; // after a failed accept: no spinning, no long wait
+constexpr Nanos stray_rest = 2 * second; // by then both sides know that an op is over; most runs have ended
+constexpr Nanos first_word = 1500 * ms;  // for a frame to come whole: callers speak when they connect
 constexpr int strikes = 8; // ops in a row that no caller sends, on one connection: no more is read of it
-// One that never spoke is no caller's, an idle one costs a new connection at the most, a new one an op.
+// The mute are no callers, an idle caller only has to connect anew, the newest would lose an op.
 constexpr std::array full_order{Way::unheard, Way::idle, Way::newest};
 
 template <class T>
@@ -111,8 +109,8 @@
 
 Choice::Choice(Nanos now, std::uint64_t seed, const Given& given, Server& server)
     : server_(server), chance_(seed), now_(now), born_(now), guess_slope_(guess_step),
-      calls_(span(given, "calls_over_ns", 5e9), now), call_time_(long_memory), silences_(long_memory),
-      reading_(reading_first) {
+      calls_(span(given, "calls_over_ns", 5e9), now), call_time_(long_memory), recent_calls_(short_memory),
+      silences_(long_memory), reading_(reading_first) {
   cores_ = needed(given, "cores", 1);
   cap_ = cores_;
   fall_multiple_ = needed(given, "fall_multiple", 1);
@@ -124,6 +122,7 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
+  call_limit_ = std::max(few_calls, calls_most * call_share_);
   idle_ = idle_told_ = span(given, "idle_ns", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = span(given, "call_linger_ns", 0);
@@ -178,7 +177,7 @@
   server_.pace(Pace::link_leave, leave_rest);
   server_.pace(Pace::call_idle, span(given, "call_idle_ns", 0) / idle_call_part);
   server_.pace(Pace::leave_to_end, end_rest);
-  server_.pace(Pace::silent_close, silent_times * idle_);
+  server_.pace(Pace::silent_close, idle_); // callers close after it themselves
   server_.pace(Pace::first_word, first_word);
   server_.when_full(full_order, strikes);
   server_.pace(Pace::accept_again, accept_rest);
@@ -310,7 +309,11 @@
                    [](const Op* a, const Op* b) { return a->latest_start < b->latest_start; });
   double ahead =
       std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
-  double line = 0;
+  double line = static_cast<double>(call_wait()) * cap_; // what is slower, cores or calls, sets the pace
+  const double call_pace = static_cast<double>(call_step()) * cap_;
+  const auto pace_of = [&](const Op* op) {
+    return std::max(static_cast<double>(core_time(*op)), types_[op->type.raw].may_call ? call_pace : 0);
+  };
   const double running = ahead > 0 ? work_on_core() / on_core_ : 0; // mean work of what is on the cores
   const double chance = std::max(0.0, 1 - nacked_part_ / rare_nacks);
   const double wait_part = hold_part + (chance_part - hold_part) * chance;
@@ -324,13 +327,13 @@
     kept.push_back(op);
     const double work = static_cast<double>(core_time(*op));
     const Nanos begin = now + static_cast<Nanos>((ahead * std::min(work, running) + line) / cap_);
-    line += work;
+    line += pace_of(op);
     const bool soon = static_cast<double>(begin - now) <=
                       wait_part * static_cast<double>(types_[op->type.raw].target_latency);
     if (begin == now || (soon && winnable(*op, begin, planned_sureness))) continue;
     const auto worst = std::min_element(
         kept.begin(), kept.end(), [this](const Op* a, const Op* b) { return density(*a) < density(*b); });
-    line -= static_cast<double>(core_time(**worst));
+    line -= pace_of(*worst);
     out.push_back(*worst);
     kept.erase(worst);
   }
@@ -356,7 +359,10 @@
 bool Choice::may_start(Nanos now, const Op& op) const {
   if (!op.paused && memory_with(op.held_kb * (run_factor_ - 1)) > memory_part * memory_limit_) return false;
   const OpType& type = types_[op.type.raw];
-  return !type.may_call || type.without_share > 0 || breaker_lets(now);
+  if (!type.may_call || type.without_share > 0) return true;
+  // Against work for ops that would only wait for their calls until they are late.
+  return breaker_lets(now) &&
+         static_cast<double>(call_wait()) <= hold_part * static_cast<double>(type.target_latency);
 }
 
 void Choice::settle(Nanos now) {
@@ -441,7 +447,10 @@
 
 void Choice::after_run(Nanos now, Op& op, Outcome outcome, Nanos lag) {
   leave_core(now, op);
-  if (op.stage == Stage::calling) lingering_.push_back(now + linger_); // its call is given up, not gone
+  if (op.stage == Stage::calling) {
+    lingering_.push_back(now + linger_); // its call is given up, not gone
+    trial_out_ = false;                  // against waiting for the end of a trial that never comes
+  }
   drop_from(at_call_, &op);
   --running_;
   const bool back = outcome == Outcome::halted && !op.answered; // fell back into the hold
@@ -511,6 +520,7 @@
 // After the final answer, or when nobody waits any more.
 void Choice::let_go(Op& op) {
   op.answered = true;
+  drop_from(at_call_, &op);
   if (op.stage == Stage::held || op.stage == Stage::reusing)
     forget(op);
   else if (op.stage == Stage::on_core && halt_ != Halt::none)
@@ -605,15 +615,21 @@
 // worth something, or wait for as long as they can still be in time.
 void Choice::place_calls(Nanos now) {
   calls_.advance(now);
-  const std::vector<Op*> parked = at_call_;
-  for (Op* op : parked) {
+  std::vector<Op*> parked = at_call_;
+  std::stable_partition(parked.begin(), parked.end(), [&](const Op* op) { return now < win_by(*op); });
+  for (Op* op : parked) { // those that can still be in time first
     if (op->answered || (now < op->call_from && !op->call_may_have_run)) continue;
     const OpType& type = types_[op->type.raw];
     // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
-    // against a part of them being cut off or hung; a dependency that all share would only be asked twice.
+    // against a part of them being cut off or hung. A dependency that all share is asked again too while it
+    // is quick, against replies that never come; where it is slow it would only be asked twice.
     const bool known = call_time_.total() >= enough;
-    const Nanos tail = known ? 2 * call_tail * call_time_.quantile(slow_call) : first_call;
-    const Nanos usual = !several_below_ || !known ? op->due - now : failures_in_row_ > 0 ? tail / 2 : tail;
+    const Nanos tail = longest_call();
+    Nanos usual = op->due - now;
+    if (known && several_below_)
+      usual = failures_in_row_ > 0 ? tail / 2 : tail;
+    else if (known && type.repeats == Repeats::retryable && lost_calls_ > calls_get_lost && !crowded_below())
+      usual = std::max(tail, first_call / 2);
     const Nanos left = win_by(*op) - core_time(*op) / 2 - now;
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
@@ -625,14 +641,12 @@
     Nanos time_out = std::min({skippable ? left : op->due - now, op->due - now, usual});
     const bool fits = time_out > 0 && (!skippable || !known || left >= call_time_.quantile(0.5));
     // A small share has no room for calls that might last that long: a shorter time-out keeps it usable.
-    bool room = call_fits(time_out);
-    if (!room && tail < time_out) {
-      time_out = tail;
-      room = call_fits(time_out);
-    }
-    if (!op->call_may_have_run && breaker_lets(now) && room && fits) {
+    if (!call_fits(time_out)) time_out = std::min(time_out, tail);
+    if (!op->call_may_have_run && breaker_lets(now) && call_fits(time_out) && fits &&
+        (skippable || call_free(now))) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
+      op->called_at = now;
       calls_.change(now, 1);
       if (failures_in_row_ >= failures_to_open) trial_out_ = true;
       op->when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
@@ -647,7 +661,50 @@
   }
 }
 
+// A call that takes longer is lost: its reply does not come, and it crowds nothing below.
+Nanos Choice::longest_call() const {
+  return call_time_.total() >= enough ? 2 * call_tail * call_time_.quantile(slow_call) : first_call;
+}
+bool Choice::crowded_below() const {
+  return recent_calls_.total() >= enough &&
+         static_cast<double>(recent_calls_.quantile(0.5)) > crowded_latency * static_cast<double>(call_base_);
+}
+
+// Guards against calls that pile up below and slow each other, so that forty do less than three: only as many
+// are in hand as don't make the usual one take twice its time. The base follows what is slow by itself. Harms
+// where what is slow at any load would have done more with more.
+void Choice::steer_calls(Nanos now, Nanos lag) {
+  recent_calls_.note(lag);
+  if (recent_calls_.total() < enough) return;
+  const Nanos usual = recent_calls_.quantile(0.5);
+  call_base_ = call_base_ == 0 ? usual : std::min(usual, call_base_ + call_base_ / base_rise);
+  if (!crowded_below()) {
+    if (!at_call_.empty()) call_limit_ += 1 / call_limit_;
+  } else if (now - call_cut_at_ >= usual) {
+    call_limit_ *= cap_cut;
+    call_cut_at_ = now;
+  }
+  call_limit_ =
+      std::max(few_calls, std::clamp(call_limit_, calls_least * call_share_, calls_most * call_share_));
+}
+
+bool Choice::call_free(Nanos now) const {
+  const auto in_hand = std::count_if(ops_.begin(), ops_.end(), [&](const auto& entry) {
+    return entry.second.stage == Stage::calling && now - entry.second.called_at <= longest_call();
+  });
+  return call_share_ <= 0 || in_hand < static_cast<int>(call_limit_);
+}
+
+// The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
+Nanos Choice::call_step() const {
+  return call_share_ <= 0 ? 0 : static_cast<Nanos>(recent_calls_.mean() / call_limit_);
+}
+Nanos Choice::call_wait() const { return static_cast<Nanos>(at_call_.size()) * call_step(); }
+
 void Choice::note_call(Nanos now, Outcome outcome, Nanos lag) {
+  if (outcome == Outcome::done || outcome == Outcome::timed_out) steer_calls(now, lag);
+  lost_calls_ += ((outcome == Outcome::timed_out || outcome == Outcome::cut) - lost_calls_) * part_step;
+  if (outcome == Outcome::moot) return; // tells of the run, not of what lies below
   if (outcome == Outcome::done) {
     call_time_.note(lag);
     failures_in_row_ = 0;
@@ -844,9 +901,8 @@
 void Choice::admit(Nanos now, Op& op) {
   const OpType& type = types_[op.type.raw];
   if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op);
-  const bool keyed = type.repeats == Repeats::keyed;
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && op.key != no_key;
-  if (keyed && !keep(now, op)) return turn_away(now, op);
+  if (type.repeats == Repeats::keyed && !keep(now, op)) return turn_away(now, op);
   if (shared && memory_with(key_kb_) < shared_part * memory_limit_) {
     keys_[op.id] = op.due + fresh_for_;
     op.kept = true;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -123,6 +123,12 @@
   bool call_fits(Nanos time_out) const;
   bool breaker_lets(Nanos now) const;
   void note_call(Nanos now, Outcome outcome, Nanos lag);
+  Nanos longest_call() const;
+  bool crowded_below() const;
+  void steer_calls(Nanos now, Nanos lag);
+  bool call_free(Nanos now) const;
+  Nanos call_step() const;
+  Nanos call_wait() const;
   void leave_core(Nanos now, Op& op);
   void join_core(Nanos now, Op& op);
   // What callers are told, and how long their connections stay.
@@ -172,6 +178,11 @@
   WindowMean calls_;
   std::vector<Nanos> lingering_; // ends of the stays of calls given up
   Histogram call_time_;
+  Histogram recent_calls_; // those timed out too
+  Nanos call_base_ = 0;    // a call's time when all is well
+  double call_limit_ = 0;  // calls in hand at once
+  Nanos call_cut_at_ = 0;
+  double lost_calls_ = 0; // part of those of late that broke off or timed out
   int failures_in_row_ = 0;
   Nanos open_until_ = 0;
   Nanos open_for_ = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -87,8 +87,9 @@
   Nanos on_core_since = 0;
   Nanos on_core = 0;   // time spent on the cores so far
   Nanos call_from = 0; // no call before then
-  double guess = 0;    // the caller's, of its work on a standard core in seconds; 0: none made
-  double hint = 1;     // what is made of it
+  Nanos called_at = 0;
+  double guess = 0; // the caller's, of its work on a standard core in seconds; 0: none made
+  double hint = 1;  // what is made of it
   double held_kb = 0;
   double rank = 0;
   bool again = false; // marked as a further try
--- a/tests/breaker.cpp
+++ b/tests/breaker.cpp
@@ -19,4 +19,13 @@
   s.called(1);
   s.read(3);
   s.to(2000);
+  Scene t;
+  t.say("a trial whose run ends is no trial any more: the next is made");
+  t.read(1), t.wants_call(1);
+  t.read(2);
+  for (int i = 0; i < 5; ++i) t.called(1, Outcome::unreachable), t.after(40);
+  t.wants_call(2);
+  t.after(500);
+  t.ended(1, Outcome::failed);
+  t.after(1500);
 }
