Calls whose replies never come are left early, of keyed ops too, while calls get lost

Some 2.5% of the replies never come; each such call stood in the budget for 1.2 to 2 s (Choice::place_calls gave it until the op was due), until call_fits let none through.

Now it is given some usual times, 100 ms at the least, 200 ms where the op can't call again, while one of some hundred calls gets lost and the others are quick.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -60,11 +60,12 @@
 constexpr double calls_most = 0.4; // of the share: what lies below slows long before it breaks
 constexpr double calls_least = 0.15; // of the share, in hand at once however slow they are: it crowds nothing
 constexpr double few_calls = 2;      // in hand at once however small the share: the budget guards its mean
-constexpr double calls_get_lost = 0.02; // part of them: one of the last dozen
-constexpr int call_steps = 4;           // points of a call's time at which the mean in hand is looked at
-constexpr Nanos first_call = 200 * ms;  // a call's time-out where little fits, none seen: some round trips
-constexpr int failures_to_open = 5;     // calls failing in a row: as the operators' staff know it
-constexpr Nanos open_first = 250 * ms;  // the breaker's first rest, then doubled: some round trips
+constexpr double calls_get_lost = 0.005; // part of them: one of the last few hundred
+constexpr double lost_step = 1.0 / 128;  // of a call in that part
+constexpr int call_steps = 4;            // points of a call's time at which the mean in hand is looked at
+constexpr Nanos first_call = 200 * ms;   // a call's time-out where little fits, none seen: some round trips
+constexpr int failures_to_open = 5;      // calls failing in a row: as the operators' staff know it
+constexpr Nanos open_first = 250 * ms;   // the breaker's first rest, then doubled: some round trips
 constexpr Nanos open_most = second; // its longest: a call a second is no load, more would outlast the trouble
 constexpr Nanos count_span = 500 * ms; // over which nacks are counted for what callers are told
 constexpr double rate_keep = 0.8;      // part of the rate before that a count leaves: about two seconds
@@ -621,15 +622,15 @@
     if (op->answered || (now < op->call_from && !op->call_may_have_run)) continue;
     const OpType& type = types_[op->type.raw];
     // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
-    // against a part of them being cut off or hung. A dependency that all share is asked again too while it
-    // is quick, against replies that never come; where it is slow it would only be asked twice.
+    // against a part of them being cut off or hung. A dependency that all share is left too while it is
+    // quick, against replies that never come, which fill the share; where it is slow it is only asked twice.
     const bool known = call_time_.total() >= enough;
     const Nanos tail = longest_call();
     Nanos usual = op->due - now;
     if (known && several_below_)
       usual = failures_in_row_ > 0 ? tail / 2 : tail;
-    else if (known && type.repeats == Repeats::retryable && lost_calls_ > calls_get_lost && !crowded_below())
-      usual = std::max(tail, first_call / 2);
+    else if (known && lost_calls_ > calls_get_lost && !crowded_below())
+      usual = std::max(tail, type.repeats == Repeats::retryable ? first_call / 2 : first_call);
     const Nanos left = win_by(*op) - core_time(*op) / 2 - now;
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
@@ -703,7 +704,7 @@
 
 void Choice::note_call(Nanos now, Outcome outcome, Nanos lag) {
   if (outcome == Outcome::done || outcome == Outcome::timed_out) steer_calls(now, lag);
-  lost_calls_ += ((outcome == Outcome::timed_out || outcome == Outcome::cut) - lost_calls_) * part_step;
+  lost_calls_ += ((outcome == Outcome::timed_out || outcome == Outcome::cut) - lost_calls_) * lost_step;
   if (outcome == Outcome::moot) return; // tells of the run, not of what lies below
   if (outcome == Outcome::done) {
     call_time_.note(lag);
