A connection for each call; lost calls leave the budget; a change of health waits for no answer

They leave the budget at once where calls are quick, and the line goes by the median. Floors of 50 and 100 ms instead of 100 and 200.

Read, not seen: an idle connection could bring a late second copy as the next call's reply (Records::call looked at nothing unread), and a forgotten one's reset could not be told from a call that ran. Announce::accepting waited for the report under way, half a second where a quarter get no answer; it is cut off instead. Bounds scale with the memory told (commands to the interpreter were 8 MB of any, inputs 16 KB); 8,192 callers are remembered at the most.

--- a/node/announce.cpp
+++ b/node/announce.cpp
@@ -14,10 +14,15 @@
   if (told_ && accepting_ == yes) return;
   accepting_ = yes;
   told_ = true;
-  if (busy_)
-    again_ = true;
-  else
-    report();
+  // A change does not wait for an answer to the report before it, which may never come.
+  if (busy_) cut_off();
+  report();
+}
+
+void Announce::cut_off() {
+  asio::error_code ignored;
+  socket_.close(ignored);
+  open_ = false;
 }
 
 // A list elsewhere knows nothing of this server yet: it is told at once.
@@ -25,16 +30,13 @@
   const asio::ip::tcp::endpoint to = endpoint_of(address);
   if (to == address_) return;
   address_ = to;
-  asio::error_code ignored;
-  socket_.close(ignored);
-  open_ = false;
+  cut_off();
   if (told_) report();
 }
 
 void Announce::report() {
   const std::uint64_t turn = ++turn_;
   busy_ = true;
-  again_ = false;
   const std::string body = accepting_ ? "{\"accepting\":\"true\"}" : "{\"accepting\":\"false\"}";
   out_ = "PUT /announce/" + name_ +
          " HTTP/1.1\r\nHost: announce\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -78,12 +80,7 @@
   if (!well && !said_down_) note("announce", "not reported, the service is down or slow");
   if (well && said_down_) note("announce", "reported again");
   said_down_ = !well;
-  if (!well || !reply_.keeps_open()) {
-    asio::error_code ignored;
-    socket_.close(ignored);
-    open_ = false;
-  }
-  if (again_) return report(); // once, however the one before ended: a change doesn't wait
+  if (!well || !reply_.keeps_open()) cut_off();
   rest();
 }
 
--- a/node/announce.hpp
+++ b/node/announce.hpp
@@ -23,6 +23,7 @@
 
  private:
   void report();
+  void cut_off();
   void write();
   void read();
   void reported(bool well);
@@ -40,8 +41,7 @@
   Nanos every_ = 0;
   Nanos patience_ = 0;
   bool accepting_ = false;
-  bool told_ = false;  // there is something to report
-  bool again_ = false; // it has changed since the report under way
+  bool told_ = false; // there is something to report
   bool busy_ = false;
   bool open_ = false;
   bool said_down_ = false;
--- a/node/configuration.cpp
+++ b/node/configuration.cpp
@@ -13,10 +13,8 @@
 using simdjson::dom::element;
 using simdjson::dom::object;
 
-// Figures of the protocol that no key tells: how long a report counts, and when the records service closes
-// what is idle.
+// A figure of the protocol that no key tells: how long a report counts.
 constexpr double list_lapse_ns = 3e9;
-constexpr double call_idle_ns = 10e9;
 constexpr double least_sockets = 64; // fewer leave no room for callers beside the server's own
 constexpr double least_memory_mb = 32;
 
@@ -130,7 +128,6 @@
   given["memory_mb"] = figure(limits, "memory_mb", "limits.", least_memory_mb, 1e9);
   given["sockets"] = figure(limits, "sockets", "limits.", least_sockets, 1e9);
   given["list_lapse_ns"] = list_lapse_ns;
-  given["call_idle_ns"] = call_idle_ns;
   // This link has no commands to stop a run or to go on without a call: the module is not to count on them.
   given["halt"] = std::string("none");
   for (int t = 0; given.contains("op_type." + std::to_string(t) + ".name"); ++t)
--- a/node/front.cpp
+++ b/node/front.cpp
@@ -13,11 +13,11 @@
 
 namespace {
 
-constexpr std::size_t kept_bytes = 16 * 1024; // of a connection's input: the largest request fits twice
-constexpr std::size_t most_body = 2 * 1024;   // of a request
-constexpr std::size_t most_open = 32;         // requests on a connection
-constexpr std::size_t most_text = 64;         // of a mark or a subject
-constexpr std::size_t most_used = 64;         // streams remembered above those that are all used
+constexpr std::size_t kept_bytes = 8 * 1024; // of a connection's input: the largest request fits twice
+constexpr std::size_t most_body = 2 * 1024;  // of a request
+constexpr std::size_t most_open = 32;        // requests on a connection
+constexpr std::size_t most_text = 64;        // of a mark or a subject
+constexpr std::size_t most_used = 64;        // streams remembered above those that are all used
 constexpr std::size_t most_pending =
     256 * 1024;                         // bytes for a connection: 32 results fit; then its input waits
 constexpr std::size_t gathered = 32;    // pieces in one write
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -17,9 +17,10 @@
 // Bounds on what is kept, as parts of the limits told. None is met in ordinary service.
 constexpr std::size_t mb = 1024 * 1024;
 constexpr std::size_t results_part = 8;  // of the memory, for results kept for repeats
-constexpr std::size_t answers_part = 6;  // of the memory, for answers not yet taken
-constexpr std::size_t ops_for_mb = 64;   // of 2 KB and their records: a fifth of the memory
-constexpr std::size_t keys_for_mb = 256; // entries without their results
+constexpr std::size_t answers_part = 8;  // of the memory, for answers not yet taken
+constexpr std::size_t link_part = 16;    // of the memory, for commands not yet taken
+constexpr std::size_t ops_for_mb = 48;   // of 2 KB and their records: a sixth of the memory
+constexpr std::size_t keys_for_mb = 128; // entries without their results: a twentieth
 constexpr std::size_t calls_part = 8;    // of the descriptors, for calls
 constexpr std::size_t own_part = 8;      // of the descriptors, for the listener, the links, files and room
 
@@ -72,7 +73,7 @@
       most_keys_(part_of(given, "memory_mb", keys_for_mb, 1)),
       front_(io_, text(given, "listen", ""), part_of(given, "sockets", own_part - 2, own_part),
              part_of(given, "memory_mb", mb, answers_part), names_, *this),
-      interpreter_(io_, text(given, "vm", ""), *this),
+      interpreter_(io_, text(given, "vm", ""), part_of(given, "memory_mb", mb, link_part), *this),
       records_(io_, text(given, "records", ""), part_of(given, "sockets", 1, calls_part)),
       announce_(io_, text(given, "announce", ""), text(given, "name", "")) {
   for (std::size_t t = 0; t < names_.op_types.size(); ++t) {
@@ -175,7 +176,6 @@
     asked_for_ = wakes_.top().first;
     if (interpreter_.ask_gauges()) asked_at_ = now();
   }
-  records_.sweep(now());
   forget_old();
   settle_strays();
 }
@@ -241,8 +241,10 @@
     at_key = key_of(type, subject);
   // Against filling the memory, and against a try that comes twice.
   if (ops_.size() >= most_ops_ || ops_.contains(id) || (keyed && keys_.size() >= most_keys_)) {
-    note("request", "refused, %s", ops_.contains(id) ? "its txn is known" : "too many");
-    return front_.refused(line, 0, false);
+    const bool known = ops_.contains(id);
+    note("request", "refused, %s", known ? "its txn is known" : "too many");
+    front_.refused(line, 0, false);
+    return known ? front_.strike(line) : void();
   }
   if (keyed && contested(at_key)) {
     note("request", "refused, the mark of another op");
@@ -590,8 +592,6 @@
     return interpreter_.link_again(time);
   case Pace::link_leave:
     return interpreter_.leave_within(time);
-  case Pace::call_idle:
-    return records_.idle_close(time);
   case Pace::leave_to_end:
     return front_.leave_to_end(time);
   case Pace::silent_close:
--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -17,8 +17,7 @@
 using simdjson::dom::element;
 using simdjson::dom::object;
 
-constexpr std::size_t most_line = 64 * 1024;            // a notice with the largest result takes a tenth
-constexpr std::size_t most_unwritten = 8 * 1024 * 1024; // a link that takes so little is made anew
+constexpr std::size_t most_line = 64 * 1024; // a notice with the largest result takes a tenth
 constexpr int reads_a_turn = 8;
 constexpr std::string_view digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -79,9 +78,10 @@
   return true;
 }
 
-Interpreter::Interpreter(asio::io_context& io, const std::string& address, Taker& taker)
-    : io_(io), address_(endpoint_of(address)), socket_(io), again_(io), taker_(taker),
-      in_(most_line + simdjson::SIMDJSON_PADDING) {
+Interpreter::Interpreter(asio::io_context& io, const std::string& address, std::size_t most_unwritten,
+                         Taker& taker)
+    : io_(io), address_(endpoint_of(address)), socket_(io), again_(io), most_unwritten_(most_unwritten),
+      taker_(taker), in_(most_line + simdjson::SIMDJSON_PADDING) {
   asio::post(io_, [this] { connect(); });
 }
 
@@ -299,7 +299,7 @@
     asio::error_code error;
     written_ += socket_.write_some(asio::buffer(out_.data() + written_, out_.size() - written_), error);
     if (error == asio::error::would_block) {
-      if (out_.size() - written_ > most_unwritten) return broken("it does not read");
+      if (out_.size() - written_ > most_unwritten_) return broken("it does not read");
       waiting_room_ = true;
       socket_.async_wait(asio::socket_base::wait_write, [this, link = link_](asio::error_code) {
         if (link == link_) waiting_room_ = false;
--- a/node/interpreter.hpp
+++ b/node/interpreter.hpp
@@ -31,7 +31,7 @@
     virtual void not_carried_out(OpId id, std::string_view command) = 0;
   };
 
-  Interpreter(asio::io_context& io, const std::string& address, Taker& taker);
+  Interpreter(asio::io_context& io, const std::string& address, std::size_t most_unwritten, Taker& taker);
 
   bool up() const { return up_; }
   // Only while up. What is sent before the question of a number is known to be read once that is answered.
@@ -63,6 +63,7 @@
   asio::ip::tcp::endpoint address_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer again_;
+  std::size_t most_unwritten_; // bytes: a link that takes so little is made anew
   Taker& taker_;
   simdjson::dom::parser parser_;
   std::vector<char> in_;
--- a/node/records.cpp
+++ b/node/records.cpp
@@ -6,7 +6,6 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
-#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -23,48 +22,38 @@
 // A handler that does nothing once its connection, or its call, is over.
 template <class Step>
 auto Records::still(const Connection& c, Step step) {
-  return [this, step, id = c.id, turn = c.turn](asio::error_code error, std::size_t n = 0) {
-    const auto at = connections_.find(id);
-    if (at != connections_.end() && at->second->turn == turn) step(*at->second, error, n);
+  return [this, step, op = c.op, turn = c.turn](asio::error_code error, std::size_t n = 0) {
+    const auto at = calls_.find(op);
+    if (at != calls_.end() && at->second->turn == turn) step(*at->second, error, n);
   };
 }
 
 void Records::call(OpId id, Nanos time_out, const std::string& body, Then then) {
   give_up(id);
-  const bool fresh = idle_ones_.empty();
-  if (fresh && connections_.size() >= most_connections_) {
+  if (calls_.size() >= most_connections_) {
     // Against using up the descriptors: this call never leaves.
     asio::post(io_, [then] { then(Outcome::unreachable, {}); });
     return;
   }
-  if (fresh) {
-    connections_.emplace(next_, std::make_unique<Connection>(io_, address_, next_));
-    idle_ones_.push_back(next_++);
-  }
-  Connection& c = *connections_.at(idle_ones_.back());
-  idle_ones_.pop_back();
-  ++c.turn;
-  c.op = id;
+  Connection& c = *calls_.emplace(id, std::make_unique<Connection>(io_, id, ++turns_)).first->second;
   c.then = std::move(then);
-  calls_[id] = c.id;
   c.reply = HttpReply(not_begun, most_reply);
   c.body = body;
   char head[256];
   const long long wait_ms = std::max<long long>(1, (time_out + 999'999) / 1'000'000);
   std::snprintf(head, sizeof head,
                 "POST /records/op HTTP/1.1\r\nHost: records\r\nOp-Of: %016llx\r\nOp-Wait-Ms: %lld\r\n"
-                "Content-Length: %zu\r\n\r\n",
+                "Connection: close\r\nContent-Length: %zu\r\n\r\n",
                 static_cast<unsigned long long>(id.raw), wait_ms, body.size());
   c.head = head;
   c.timer.expires_after(std::chrono::nanoseconds(time_out));
   c.timer.async_wait(still(c, [this](Connection& late, asio::error_code stopped, std::size_t) {
-    if (!stopped) over(late, Outcome::timed_out, false);
+    if (!stopped) over(late, Outcome::timed_out);
   }));
-  if (!fresh) return write(c);
   c.socket.async_connect(address_, still(c, [this](Connection& made, asio::error_code error, std::size_t) {
                            // Only a refused connection proves that nothing ran; another that can't be made
                            // has carried no byte of the call either.
-                           if (error) return over(made, Outcome::unreachable, false);
+                           if (error) return over(made, Outcome::unreachable);
                            asio::error_code ignored;
                            made.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
                            write(made);
@@ -74,7 +63,7 @@
 void Records::write(Connection& c) {
   const std::array<asio::const_buffer, 2> whole{asio::buffer(c.head), asio::buffer(c.body)};
   asio::async_write(c.socket, whole, still(c, [this](Connection& to, asio::error_code error, std::size_t) {
-                      if (error) over(to, Outcome::cut, false);
+                      if (error) over(to, Outcome::cut);
                     }));
   read(c);
 }
@@ -82,16 +71,15 @@
 void Records::read(Connection& c) {
   c.socket.async_read_some(asio::buffer(c.in),
                            still(c, [this](Connection& from, asio::error_code error, std::size_t n) {
-                             if (error)
-                               return over(from, Outcome::cut, false); // how far the call got can't be told
+                             if (error) return over(from, Outcome::cut); // how far the call got can't be told
                              switch (from.reply.feed({from.in.data(), n})) {
                              case HttpReply::State::reading:
                                return read(from);
                              case HttpReply::State::unreadable:
                                note("records", "a reply that can't be read");
-                               return over(from, Outcome::cut, false);
+                               return over(from, Outcome::cut);
                              case HttpReply::State::whole:
-                               return over(from, outcome_of(from.reply), from.reply.keeps_open());
+                               return over(from, outcome_of(from.reply));
                              }
                            }));
 }
@@ -112,54 +100,24 @@
   }
 }
 
-// The one place where a call ends, and where its connection is kept for another or given back.
-void Records::over(Connection& c, Outcome outcome, bool keep) {
-  const OpId op = c.op;
-  const Then then = std::exchange(c.then, nullptr);
+// The one place where a call ends and its connection is given back. It is reset: what it may still bring is
+// of no use, and ports don't wait for it.
+void Records::over(Connection& c, Outcome outcome) {
+  const Then then = std::move(c.then);
   std::string reply = outcome == Outcome::done ? std::move(c.reply.body()) : std::string();
-  ++c.turn;
-  c.op = no_op;
-  c.timer.cancel();
-  if (op != no_op) calls_.erase(op);
-  if (keep && c.to == address_) {
-    c.idle_since = now_;
-    idle_ones_.push_back(c.id);
-    // Nothing is to come while it is idle, but its end. Only waits: what comes later belongs to the next
-    // call.
-    c.socket.async_wait(asio::socket_base::wait_read,
-                        still(c, [this](Connection& idle, asio::error_code, std::size_t) {
-                          over(idle, Outcome::cut, false);
-                        }));
-  } else {
-    idle_ones_.erase(std::remove(idle_ones_.begin(), idle_ones_.end(), c.id), idle_ones_.end());
-    connections_.erase(c.id);
-  }
-  if (op != no_op) then(outcome, std::move(reply));
+  asio::error_code ignored;
+  c.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  calls_.erase(c.op);
+  if (then) then(outcome, std::move(reply));
 }
 
-void Records::move_to(const std::string& address) {
-  address_ = endpoint_of(address);
-  while (!idle_ones_.empty() && connections_.at(idle_ones_.back())->to != address_)
-    over(*connections_.at(idle_ones_.back()), Outcome::cut, false);
-}
+void Records::move_to(const std::string& address) { address_ = endpoint_of(address); }
 
 void Records::give_up(OpId id) {
   const auto at = calls_.find(id);
   if (at == calls_.end()) return;
-  Connection& c = *connections_.at(at->second);
-  c.op = no_op;
-  calls_.erase(at);
-  over(c, Outcome::cut, false);
-}
-
-void Records::sweep(Nanos now) {
-  now_ = now;
-  // The longest idle stand first, as the last one is taken first.
-  while (!idle_ones_.empty() && idle_ > 0) {
-    Connection& c = *connections_.at(idle_ones_.front());
-    if (now - c.idle_since < idle_) return;
-    over(c, Outcome::cut, false);
-  }
+  at->second->then = nullptr;
+  over(*at->second, Outcome::cut);
 }
 
 } // namespace cometshift
--- a/node/records.hpp
+++ b/node/records.hpp
@@ -1,5 +1,6 @@
-// Calls to the records service: HTTP/1.1, one call at a time on a connection. Owns the connections; none is
-// in a call that has ended, and none stays idle for long.
+// Calls to the records service: HTTP/1.1, each on a connection of its own. Owns the connections; none
+// outlives its call. Guards against replies that are no answer to the call they would be read for (a second
+// copy, noise behind one), and against connections forgotten on the other side, whose end proves nothing.
 #pragma once
 
 #include "http.hpp"
@@ -14,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace cometshift {
 
@@ -28,22 +28,16 @@
   void call(OpId id, Nanos time_out, const std::string& body, Then then);
   void give_up(OpId id);                    // without a word; the connection is closed
   void move_to(const std::string& address); // for calls from now on; those in hand end where they are
-  void idle_close(Nanos after) { idle_ = after; }
-  void sweep(Nanos now);
-  std::size_t connections() const { return connections_.size(); }
+  std::size_t connections() const { return calls_.size(); }
 
  private:
   struct Connection {
-    Connection(asio::io_context& io, const asio::ip::tcp::endpoint& a, std::uint64_t i)
-        : socket(io), timer(io), to(a), id(i) {}
+    Connection(asio::io_context& io, OpId o, std::uint64_t t) : socket(io), timer(io), op(o), turn(t) {}
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
-    asio::ip::tcp::endpoint to;
-    std::uint64_t id;
-    OpId op; // no_op: idle
+    OpId op;
+    std::uint64_t turn; // counts calls: handlers of an earlier one do nothing
     Then then;
-    std::uint64_t turn = 0; // counts calls: a timer of an earlier one does nothing
-    Nanos idle_since = 0;
     std::string head, body;
     std::array<char, 4096> in;
     HttpReply reply;
@@ -51,7 +45,7 @@
 
   void write(Connection& c);
   void read(Connection& c);
-  void over(Connection& c, Outcome outcome, bool keep);
+  void over(Connection& c, Outcome outcome);
   Outcome outcome_of(const HttpReply& reply) const;
   template <class Step>
   auto still(const Connection& c, Step step);
@@ -59,12 +53,8 @@
   asio::io_context& io_;
   asio::ip::tcp::endpoint address_;
   std::size_t most_connections_;
-  std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
-  std::map<OpId, std::uint64_t> calls_; // the connection of each
-  std::vector<std::uint64_t> idle_ones_;
-  std::uint64_t next_ = 1;
-  Nanos idle_ = 0;
-  Nanos now_ = 0;
+  std::map<OpId, std::unique_ptr<Connection>> calls_;
+  std::uint64_t turns_ = 0;
 };
 
 } // namespace cometshift
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -61,7 +61,6 @@
 constexpr double calls_least = 0.15; // of the share, in hand at once however slow they are: it crowds nothing
 constexpr double few_calls = 2;      // in hand at once however small the share: the budget guards its mean
 constexpr double calls_get_lost = 0.005; // part of them: one of the last few hundred
-constexpr double lost_step = 1.0 / 128;  // of a call in that part
 constexpr int call_steps = 4;            // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call = 200 * ms;   // a call's time-out where little fits, none seen: some round trips
 constexpr int failures_to_open = 5;      // calls failing in a row: as the operators' staff know it
@@ -84,19 +83,19 @@
 constexpr int connection_cost = 2;     // silent for the told idle time, it has cost so many new ones
 constexpr int idle_halvings = 6;       // least time that silent ones are kept: a 64th of the told one
 constexpr double idle_gain = 0.1;      // of the cost of connections: less isn't worth a change
-constexpr double forgotten = 0.1;      // ops of late by a caller: fewer are none
-constexpr double rank_step = 0.05;     // of a nacked op's rank in their mean: the last twenty or so
-constexpr double part_step = 1.0 / 32; // of an op in the parts of ops nacked or tried before
-constexpr double full_elsewhere = 4;   // times that part of the nacks ask not to try elsewhere
-constexpr double tokens_per_cap = 3;   // ops out here for each allowed to run, at full openness
-constexpr Nanos report_part = 6;       // of the time that a report counts: two may get lost, with room
-constexpr Nanos idle_call_part = 4;    // of the time after which the other side closes: never a race with it
-constexpr Nanos link_rest = 20 * ms;   // before the link is made anew: no load, short against a run
-constexpr Nanos leave_rest = 200 * ms; // for an old link to answer: many round trips, short against a run
-constexpr Nanos end_rest = 500 * ms;   // for callers to close what takes no new op: some round trips
-constexpr Nanos accept_rest = 20 * ms; // after a failed accept: no spinning, no long wait
-constexpr Nanos stray_rest = 2 * second; // by then both sides know that an op is over; most runs have ended
-constexpr Nanos first_word = 1500 * ms;  // for a frame to come whole: callers speak when they connect
+constexpr std::size_t most_callers = 8192; // remembered, against a flood of made-up ones: 1 MB
+constexpr double forgotten = 0.1;          // ops of late by a caller: fewer are none
+constexpr double rank_step = 0.05;         // of a nacked op's rank in their mean: the last twenty or so
+constexpr double part_step = 1.0 / 32;     // of an op in the parts of ops nacked or tried before
+constexpr double full_elsewhere = 4;       // times that part of the nacks ask not to try elsewhere
+constexpr double tokens_per_cap = 3;       // ops out here for each allowed to run, at full openness
+constexpr Nanos report_part = 6;           // of the time that a report counts: two may get lost, with room
+constexpr Nanos link_rest = 20 * ms;       // before the link is made anew: no load, short against a run
+constexpr Nanos leave_rest = 200 * ms;     // for an old link to answer: many round trips, short against a run
+constexpr Nanos end_rest = 500 * ms;       // for callers to close what takes no new op: some round trips
+constexpr Nanos accept_rest = 20 * ms;     // after a failed accept: no spinning, no long wait
+constexpr Nanos stray_rest = 2 * second;   // by then both sides know that an op is over; most runs have ended
+constexpr Nanos first_word = 1500 * ms;    // for a frame to come whole: callers speak when they connect
 constexpr int strikes = 8; // ops in a row that no caller sends, on one connection: no more is read of it
 // The mute are no callers, an idle caller only has to connect anew, the newest would lose an op.
 constexpr std::array full_order{Way::unheard, Way::idle, Way::newest};
@@ -176,7 +175,6 @@
   server_.pace(Pace::report_wait, report);
   server_.pace(Pace::link_again, link_rest);
   server_.pace(Pace::link_leave, leave_rest);
-  server_.pace(Pace::call_idle, span(given, "call_idle_ns", 0) / idle_call_part);
   server_.pace(Pace::leave_to_end, end_rest);
   server_.pace(Pace::silent_close, idle_); // callers close after it themselves
   server_.pace(Pace::first_word, first_word);
@@ -226,8 +224,7 @@
 
 // ---- the stall watch
 
-// The clock of every call in. A process that stood still sees its clock jump: that time is not its cores'
-// fault.
+// The clock of every call in. The time that a process stood still, seen as a jump, is not its cores' fault.
 void Choice::pass_to(Nanos now) {
   if (now - now_ > stood_still) progress_at_ = std::min(now, progress_at_ + now - now_);
   now_ = now;
@@ -308,8 +305,7 @@
   for (Op* op : held_) op->latest_start = win_by(*op) - run_time(*op, planned_sureness);
   std::stable_sort(held_.begin(), held_.end(),
                    [](const Op* a, const Op* b) { return a->latest_start < b->latest_start; });
-  double ahead =
-      std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may start
+  double ahead = std::max(0.0, static_cast<double>(on_core_) - cap_ + 1); // runs to end before the first may
   double line = static_cast<double>(call_wait()) * cap_; // what is slower, cores or calls, sets the pace
   const double call_pace = static_cast<double>(call_step()) * cap_;
   const auto pace_of = [&](const Op* op) {
@@ -318,8 +314,7 @@
   const double running = ahead > 0 ? work_on_core() / on_core_ : 0; // mean work of what is on the cores
   const double chance = std::max(0.0, 1 - nacked_part_ / rare_nacks);
   const double wait_part = hold_part + (chance_part - hold_part) * chance;
-  std::vector<Op*> out;
-  std::vector<Op*> kept;
+  std::vector<Op*> out, kept;
   for (Op* op : held_) {
     if (!winnable(*op, now, last_sureness)) {
       out.push_back(op);
@@ -621,16 +616,15 @@
   for (Op* op : parked) { // those that can still be in time first
     if (op->answered || (now < op->call_from && !op->call_may_have_run)) continue;
     const OpType& type = types_[op->type.raw];
-    // Below is one of several servers: one that doesn't answer in the usual time is left for another. Guards
-    // against a part of them being cut off or hung. A dependency that all share is left too while it is
-    // quick, against replies that never come, which fill the share; where it is slow it is only asked twice.
+    // One of several below that doesn't answer in the usual time is left for another, against some cut off or
+    // hung. What all share is left while it is quick, against replies that never come and fill the share.
     const bool known = call_time_.total() >= enough;
     const Nanos tail = longest_call();
     Nanos usual = op->due - now;
     if (known && several_below_)
       usual = failures_in_row_ > 0 ? tail / 2 : tail;
     else if (known && lost_calls_ > calls_get_lost && !crowded_below())
-      usual = std::max(tail, type.repeats == Repeats::retryable ? first_call / 2 : first_call);
+      usual = std::max(tail, type.repeats == Repeats::retryable ? first_call / 4 : first_call / 2);
     const Nanos left = win_by(*op) - core_time(*op) / 2 - now;
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
@@ -650,7 +644,9 @@
       op->called_at = now;
       calls_.change(now, 1);
       if (failures_in_row_ >= failures_to_open) trial_out_ = true;
-      op->when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
+      op->when_called = [this](Op& called, Outcome outcome, Nanos lag) {
+        after_call(now_, called, outcome, lag);
+      };
       server_.call(op->id, time_out);
     } else if (type.without_share > 0) {
       drop_from(at_call_, op);
@@ -698,13 +694,15 @@
 
 // The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
 Nanos Choice::call_step() const {
-  return call_share_ <= 0 ? 0 : static_cast<Nanos>(recent_calls_.mean() / call_limit_);
+  return call_share_ <= 0
+             ? 0
+             : static_cast<Nanos>(static_cast<double>(recent_calls_.quantile(0.5)) / call_limit_);
 }
 Nanos Choice::call_wait() const { return static_cast<Nanos>(at_call_.size()) * call_step(); }
 
 void Choice::note_call(Nanos now, Outcome outcome, Nanos lag) {
   if (outcome == Outcome::done || outcome == Outcome::timed_out) steer_calls(now, lag);
-  lost_calls_ += ((outcome == Outcome::timed_out || outcome == Outcome::cut) - lost_calls_) * lost_step;
+  lost_calls_ += ((outcome == Outcome::timed_out || outcome == Outcome::cut) - lost_calls_) * part_step / 4;
   if (outcome == Outcome::moot) return; // tells of the run, not of what lies below
   if (outcome == Outcome::done) {
     call_time_.note(lag);
@@ -722,8 +720,8 @@
   trial_out_ = false;
 }
 
-void Choice::after_call(Nanos now, Op& op, Outcome outcome) {
-  if (outcome == Outcome::timed_out)
+void Choice::after_call(Nanos now, Op& op, Outcome outcome, Nanos lag) {
+  if (outcome == Outcome::timed_out && (lag < longest_call() || crowded_below())) // else lost, not in hand
     lingering_.push_back(now + linger_);
   else
     calls_.change(now, -1);
@@ -734,8 +732,7 @@
     op.stage = Stage::at_call;
     return;
   }
-  // Where all share what is below, another try at once would meet the same: against one op's tries in a row
-  // opening the breaker for all.
+  // Against one op's tries in a row opening the breaker for all: what all share would fail it the same.
   if (!several_below_) op.call_from = now + std::max(tick, call_time_.quantile(0.5));
   park(op);
 }
@@ -752,8 +749,7 @@
 // So many callers of the same traffic would be as uneven as those that remember what they were told: few
 // carry most. Guards against sharing tokens among callers that forget before they come again.
 double Choice::alike_callers() const {
-  double sum = 0;
-  double squares = 0;
+  double sum = 0, squares = 0;
   for (const auto& [id, caller] : by_caller_) {
     if (now_ - caller.last > heeded_) continue;
     sum += caller.ops;
@@ -765,6 +761,7 @@
 // Notes a caller's silence; of one not heard of lately, as if all that there are called in turn.
 void Choice::hear(Nanos now, CallerId id) {
   ++read_;
+  if (by_caller_.size() >= most_callers && !by_caller_.contains(id)) return;
   const auto [at, unheard] = by_caller_.try_emplace(id);
   Caller& caller = at->second;
   const double turn = callers_ * static_cast<double>(now - born_) / read_;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -20,7 +20,6 @@
   report_wait,  // for the reply to a report, before it is made anew
   link_again,   // before the link to the machine is made anew
   link_leave,   // for the answer that proves a link read before it is left for another address
-  call_idle,    // a connection for calls may stand idle
   leave_to_end, // between telling a caller that its connection takes no new op and closing it
   silent_close, // a caller's connection may be silent, however it was left
   first_word,   // a caller's connection may take for its first frame, or for the rest of one
@@ -119,7 +118,7 @@
   // Calls.
   void park(Op& op);
   void place_calls(Nanos now);
-  void after_call(Nanos now, Op& op, Outcome outcome);
+  void after_call(Nanos now, Op& op, Outcome outcome, Nanos lag);
   bool call_fits(Nanos time_out) const;
   bool breaker_lets(Nanos now) const;
   void note_call(Nanos now, Outcome outcome, Nanos lag);
--- a/tests/host.cpp
+++ b/tests/host.cpp
@@ -180,6 +180,7 @@
     w.list.say("HTTP/1.1 204 No Content\r\n\r\n");
     std::string report;
     while (report.find("false") == std::string::npos) {
+      if (w.list.ended()) w.list = w.lists.next();
       report = w.list.request({});
       w.list.say("HTTP/1.1 204 No Content\r\n\r\n");
     }
