One look-up of an ended run's entry; the bound for lost calls is worked out once

Read over once more: Host::run_over looked its entry up twice, Choice::call_free worked out how long a call may take for each op in a call, and counted them where no share is told.

--- a/node/host.cpp
+++ b/node/host.cpp
@@ -364,13 +364,14 @@
   records_.give_up(id);
   // That nothing was started is sure only of what was sent once at the most, or the first may have been read.
   const bool never_begun = outcome == Outcome::moot && !op.heard && op.starts <= 1;
-  if (Kept* entry = entry_of(id); entry && entry->ran == id && never_begun)
-    unbegun(*entry);
-  else if (entry && entry->ran == id)
-    settle(*entry, outcome == Outcome::done ? Kept::State::done : Kept::State::failed,
-           outcome == Outcome::done ? result : std::string());
-  if (Kept* entry = entry_of(id); entry && entry->ran == id)
-    entry->proven = entry->proven || outcome == Outcome::done;
+  if (Kept* entry = entry_of(id); entry && entry->ran == id) {
+    const bool done = outcome == Outcome::done;
+    entry->proven = entry->proven || done;
+    if (never_begun)
+      unbegun(*entry);
+    else
+      settle(*entry, done ? Kept::State::done : Kept::State::failed, done ? result : std::string());
+  }
   if (!op.answered && outcome != Outcome::halted) {
     if (outcome == Outcome::done)
       front_.served(op.line, std::move(result));
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -686,10 +686,12 @@
 }
 
 bool Choice::call_free(Nanos now) const {
+  if (call_share_ <= 0) return true;
+  const Nanos lost = longest_call();
   const auto in_hand = std::count_if(ops_.begin(), ops_.end(), [&](const auto& entry) {
-    return entry.second.stage == Stage::calling && now - entry.second.called_at <= longest_call();
+    return entry.second.stage == Stage::calling && now - entry.second.called_at <= lost;
   });
-  return call_share_ <= 0 || in_hand < static_cast<int>(call_limit_);
+  return in_hand < static_cast<int>(call_limit_);
 }
 
 // The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
