Two checks that can't be met any more are gone

An answered op is not in the line of calls since Choice::let_go takes it out, so place_calls need not pass it over; a link that is being left has connected anew before the question of a new one could count (Interpreter::line).

--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -236,7 +236,7 @@
     taker_.gauges(values);
     if (leaving_ && answered_ == asked_) return connect();
     // The answer to the first question of a link comes after all that was replayed.
-    if (!up_ && !leaving_ && answered_ > heard_before_ && answered_ == asked_) {
+    if (!up_ && answered_ > heard_before_ && answered_ == asked_) {
       up_ = true;
       taker_.caught_up(heard_before_);
     }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -614,7 +614,7 @@
   std::vector<Op*> parked = at_call_;
   std::stable_partition(parked.begin(), parked.end(), [&](const Op* op) { return now < win_by(*op); });
   for (Op* op : parked) { // those that can still be in time first
-    if (op->answered || (now < op->call_from && !op->call_may_have_run)) continue;
+    if (now < op->call_from && !op->call_may_have_run) continue;
     const OpType& type = types_[op->type.raw];
     // One of several below that doesn't answer in the usual time is left for another, against some cut off or
     // hung. What all share is left while it is quick, against replies that never come and fill the share.
