Calls given up count to their end, none into a service that stands still, back by rests

To blame: Choice::after_call, which took a call that timed out after the tail for lost and not in hand.

--- a/capture/format.hpp
+++ b/capture/format.hpp
@@ -27,7 +27,7 @@
 
 constexpr std::string_view segment_mark = "CMTSHFT\x01";
 constexpr std::uint32_t capture_format = 1;
-constexpr std::uint32_t snapshot_layout = 1;
+constexpr std::uint32_t snapshot_layout = 2;
 constexpr std::size_t block_head = 12;
 constexpr std::size_t most_block = 64 * 1024 * 1024; // a snapshot with every table full takes some MB
 extern const char* const build_name;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -61,6 +61,7 @@
 constexpr double lone_part = 0.5;  // of the share that a lone short call may find used: it adds little itself
 constexpr double calls_most = 0.8; // of the share: what lies below slows long before it breaks
 constexpr double calls_least = 0.15; // of the share, in hand at once however slow they are: it crowds nothing
+constexpr double few_part = 0.5;     // of the share, at the most a few: in hand at once though they are slow
 constexpr double few_calls = 2;      // in hand at once however small the share: the budget guards its mean
 constexpr double calls_get_lost = 0.005; // part of them: one of the last few hundred
 constexpr int call_steps = 4;            // points of a call's time at which the mean in hand is looked at
@@ -124,7 +125,7 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
-  call_limit_ = std::max(few_calls, calls_most * call_share_);
+  call_limit_ = calls_most * call_share_;
   idle_ = idle_told_ = span(given, "idle_ns", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = span(given, "call_linger_ns", 0);
@@ -436,9 +437,7 @@
   else if (op.stage != Stage::held)
     op.when_ended = [this](Op& ended, Outcome outcome, Nanos lag) { after_run(now_, ended, outcome, lag); };
   if (op.stage == Stage::calling)
-    op.when_called = [this](Op& called, Outcome outcome, Nanos lag) {
-      after_call(now_, called, outcome, lag);
-    };
+    op.when_called = [this](Op& called, Outcome outcome, Nanos) { after_call(now_, called, outcome); };
 }
 
 void Choice::join_core(Nanos now, Op& op) {
@@ -652,6 +651,8 @@
     const bool fits = time_out > 0 && (!skippable || !known || left >= call_time_.quantile(0.5));
     // A small share has no room for calls that might last that long: a shorter time-out keeps it usable.
     if (!call_fits(time_out)) time_out = std::min(time_out, tail);
+    if (known && !call_fits(time_out))
+      time_out = std::min(time_out, 2 * call_tail * recent_calls_.quantile(0.5));
     if (!op->call_may_have_run && breaker_lets(now) && call_fits(time_out) && fits &&
         (skippable || call_free(now))) {
       drop_from(at_call_, op);
@@ -681,46 +682,58 @@
 }
 
 // Guards against calls that pile up below and slow each other, so that forty do less than three: only as many
-// are in hand as don't make the usual one take twice its time. The base follows what is slow by itself. Harms
-// where what is slow at any load would have done more with more.
+// are in hand as don't make the usual one take twice its time; where one by each server is too many, fewer by
+// rests between. The base follows what is slow by itself. Harms what is slow at any load and could do more.
 void Choice::steer_calls(Nanos now, Nanos lag) {
+  // All servers feel it when what lies below stands still, and all come back: slowly, from little.
+  if (lag > longest_call() && now - lag >= call_done_from_)
+    call_limit_ = std::min(call_limit_, calls_least * call_share_);
+  call_from_ = call_limit_ > 0 ? now + static_cast<Nanos>(static_cast<double>(lag) / call_limit_) - lag : 0;
   recent_calls_.note(lag);
   if (recent_calls_.total() < enough) return;
   const Nanos usual = recent_calls_.quantile(0.5);
   call_base_ = call_base_ == 0 ? usual : std::min(usual, call_base_ + call_base_ / base_rise);
   if (!crowded_below()) {
-    if (!at_call_.empty()) call_limit_ += 1 / call_limit_;
+    if (!at_call_.empty()) call_limit_ = std::min(call_limit_ + 1 / call_limit_, call_limit_ * cap_growth);
+    call_limit_ = std::min(call_limit_, std::max(few_calls, calls_most * call_share_));
   } else if (now - call_cut_at_ >= usual) {
-    call_limit_ *= cap_cut;
+    const double least = std::max(calls_least * call_share_, std::min(few_calls, few_part * call_share_));
+    call_limit_ = std::max(call_limit_ * cap_cut, std::min(call_limit_, least));
     call_cut_at_ = now;
   }
-  call_limit_ =
-      std::max(few_calls, std::clamp(call_limit_, calls_least * call_share_, calls_most * call_share_));
 }
 
+// Where one has outlasted the tail and none that was made since has come back, what lies below stands still:
+// against every server's filling its share meanwhile with calls that would end together later.
 bool Choice::call_free(Nanos now) const {
   if (call_share_ <= 0) return true;
   const Nanos lost = longest_call();
-  const auto in_hand = std::count_if(ops_.begin(), ops_.end(), [&](const auto& entry) {
-    return entry.second.stage == Stage::calling && now - entry.second.called_at <= lost;
-  });
-  return in_hand < static_cast<int>(call_limit_);
+  int in_hand = 0;
+  for (const auto& [id, op] : ops_) {
+    if (op.stage != Stage::calling) continue;
+    const bool outlasted = now - op.called_at > lost;
+    if (outlasted && op.called_at >= call_done_from_) return false;
+    in_hand += !outlasted;
+  }
+  return call_limit_ < 1 ? in_hand == 0 && now >= call_from_ : in_hand < static_cast<int>(call_limit_);
 }
 
 // The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
 Nanos Choice::call_step() const {
-  return call_share_ <= 0
-             ? 0
-             : static_cast<Nanos>(static_cast<double>(recent_calls_.quantile(0.5)) / call_limit_);
+  const auto usual = static_cast<double>(recent_calls_.quantile(0.5));
+  return call_share_ > 0 ? static_cast<Nanos>(usual / call_limit_) : 0;
 }
 Nanos Choice::call_wait() const { return static_cast<Nanos>(at_call_.size()) * call_step(); }
 
 void Choice::note_call(Nanos now, Outcome outcome, Nanos lag) {
   if (outcome == Outcome::done || outcome == Outcome::timed_out) steer_calls(now, lag);
-  lost_calls_ += ((outcome == Outcome::timed_out || outcome == Outcome::cut) - lost_calls_) * part_step / 4;
+  // A call is lost where one made after it has come back; else what lies below is slow, or stands still.
+  const bool lost = outcome == Outcome::cut || (outcome == Outcome::timed_out && now - lag < call_done_from_);
+  lost_calls_ += (lost - lost_calls_) * part_step / 4;
   if (outcome == Outcome::moot) return; // tells of the run, not of what lies below
   if (outcome == Outcome::done) {
     call_time_.note(lag);
+    call_done_from_ = std::max(call_done_from_, now - lag);
     failures_in_row_ = 0;
     open_for_ = 0;
     trial_out_ = false;
@@ -735,11 +748,8 @@
   trial_out_ = false;
 }
 
-void Choice::after_call(Nanos now, Op& op, Outcome outcome, Nanos lag) {
-  if (outcome == Outcome::timed_out && (lag < longest_call() || crowded_below())) // else lost, not in hand
-    lingering_.push_back(now + linger_);
-  else
-    calls_.change(now, -1);
+void Choice::after_call(Nanos now, Op& op, Outcome outcome) {
+  outcome == Outcome::timed_out ? lingering_.push_back(now + linger_) : calls_.change(now, -1);
   if (outcome == Outcome::done) return join_core(now, op);
   if (types_[op.type.raw].repeats != Repeats::retryable && !proves_not_run(outcome))
     op.call_may_have_run = true;
@@ -1007,6 +1017,8 @@
   pass_to(now);
   born_ = now - since;
   progress_at_ = now;
+  // Whatever served here before ended with the machine, and may have had its whole share of calls in hand.
+  calls_.assume(born_, calls_part * call_share_);
 }
 
 // The stored health turns bad at once. Ops are served for a shutdown delay that ends by the grace and early
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -156,7 +156,7 @@
   // Calls.
   void park(Op& op);
   void place_calls(Nanos now);
-  void after_call(Nanos now, Op& op, Outcome outcome, Nanos lag);
+  void after_call(Nanos now, Op& op, Outcome outcome);
   bool call_fits(Nanos time_out) const;
   bool breaker_lets(Nanos now) const;
   void note_call(Nanos now, Outcome outcome, Nanos lag);
@@ -219,7 +219,9 @@
   Nanos call_base_ = 0;    // a call's time when all is well
   double call_limit_ = 0;  // calls in hand at once
   Nanos call_cut_at_ = 0;
-  double lost_calls_ = 0; // part of those of late that broke off or timed out
+  Nanos call_done_from_ = 0; // when the youngest of those that came back was made
+  Nanos call_from_ = 0;      // no call before then, under a limit of one
+  double lost_calls_ = 0; // part of those of late that broke off, or timed out while younger ones came back
   int failures_in_row_ = 0;
   Nanos open_until_ = 0;
   Nanos open_for_ = 0;
--- a/src/histogram.hpp
+++ b/src/histogram.hpp
@@ -158,7 +158,7 @@
   }
 };
 
-// The mean of a count over a sliding window, kept in a few slices.
+// The mean of a count over a sliding window, kept in a few slices. What the count was before may be assumed.
 class WindowMean {
   static constexpr int slices = 16;
   std::array<double, slices> area_{}; // count x time in each slice
@@ -167,6 +167,8 @@
   Nanos at_;
   std::int64_t index_ = 0;
   double count_ = 0;
+  Nanos assumed_until_ = 0;
+  double assumed_ = 0;
 
  public:
   WindowMean(Nanos window, Nanos now)
@@ -174,12 +176,17 @@
 
   template <class Keeper>
   void remember(Keeper& keeper) {
-    keeper(area_, slice_, begin_, at_, index_, count_);
+    keeper(area_, slice_, begin_, at_, index_, count_, assumed_until_, assumed_);
     if (Keeper::reads && (slice_ <= 0 || index_ < 0 || begin_ > at_))
       throw std::invalid_argument("snapshot: a window that can't be");
   }
 
   double count() const { return count_; }
+  // Until then the count is thought to have stood at `count`, beside what was told of it.
+  void assume(Nanos until, double count) {
+    assumed_until_ = until;
+    assumed_ = count;
+  }
   void advance(Nanos now) {
     while (at_ < now) {
       const Nanos edge = begin_ + (index_ + 1) * slice_;
@@ -198,6 +205,7 @@
     const Nanos window = slice_ * (slices - 1);
     if (ahead >= window) return count;
     double sum = count * static_cast<double>(ahead);
+    sum += assumed_ * static_cast<double>(std::max<Nanos>(0, assumed_until_ - (at_ + ahead - window)));
     for (std::int64_t i = index_; i >= 0 && i > index_ - slices; --i) {
       const Nanos from = std::max(begin_ + i * slice_, at_ + ahead - window);
       const Nanos to = std::min(begin_ + (i + 1) * slice_, at_);
--- a/src/remember.cpp
+++ b/src/remember.cpp
@@ -57,8 +57,8 @@
   listed(at_call_);
   keeper(cap_, born_cold_, running_, on_core_, held_since_, cut_at_, progress_at_, stalled_, grown_at_, busy_,
          wanting_core_, memory_kb_, keys_);
-  keeper(calls_, lingering_, call_time_, recent_calls_, call_base_, call_limit_, call_cut_at_, lost_calls_,
-         failures_in_row_, open_until_, open_for_, trial_out_);
+  keeper(calls_, lingering_, call_time_, recent_calls_, call_base_, call_limit_, call_cut_at_,
+         call_done_from_, call_from_, lost_calls_, failures_in_row_, open_until_, open_for_, trial_out_);
   std::size_t callers = by_caller_.size();
   keeper(callers);
   if constexpr (Keeper::reads) {
