--- a/load/main.cpp
+++ b/load/main.cpp
@@ -142,8 +142,11 @@
 
   std::filesystem::create_directories(wanted.folder);
   const std::string config = wanted.folder + "/config.json", log = wanted.folder + "/server.log";
-  write_file(config,
-             configuration(wanted, words(at(5050)), words(at(7300)), words(at(2379)), words(at(5432))));
+  const auto write_configuration = [&] {
+    write_file(config, configuration(wanted, words(at(5050)), words(machine.address()),
+                                     words(announce.address()), words(records.address())));
+  };
+  write_configuration();
   std::vector<std::string> command{wanted.server};
   std::string operators = wanted.operator_text;
   const auto write_operator = [&](bool recording) {
@@ -161,9 +164,13 @@
   Child server(command, log);
   Child::Cost cost;
 
-  // Until it is listed, which is when balancers hear of it.
+  // Until it is listed, which is when balancers hear of it; where the list is down from the beginning, until
+  // it has its link.
+  const bool unlisted = !faults.empty() && faults.front().at == 0 && faults.front().what == "announce-down";
+  announce.down(unlisted);
+  unsigned moves = 0;
   const Nanos started = standin::steady_now();
-  while (!announce.listed()) {
+  while (unlisted ? !machine.linked() : !announce.listed()) {
     io.run_one_for(std::chrono::milliseconds(20));
     if (server.ended(cost) || standin::steady_now() - started > 10 * second) {
       std::fprintf(stderr, "cometshift_load: the server did not come up; see %s\n", log.c_str());
@@ -212,7 +219,18 @@
         records.down(false);
       else if (fault.what == "announce-silent")
         announce.silent(f);
-      else if (fault.what == "reload")
+      else if (fault.what == "announce-down")
+        announce.down(true);
+      else if (fault.what == "announce-up")
+        announce.down(false);
+      else if (fault.what == "move") {
+        ++moves;
+        machine.move_to(at(static_cast<unsigned short>(7300 + moves)));
+        records.move_to(at(static_cast<unsigned short>(5432 + moves)));
+        announce.move_to(at(static_cast<unsigned short>(2379 + moves)));
+        write_configuration();
+        server.tell(SIGHUP);
+      } else if (fault.what == "reload")
         server.tell(SIGHUP);
       else if (fault.what == "leave")
         server.tell(SIGTERM), rules.told_to_leave(unix_now()), left_at = now;
--- a/standin/party.cpp
+++ b/standin/party.cpp
@@ -89,27 +89,53 @@
       .count();
 }
 
-// ---- the interpreter
+// ---- where parties listen
 
-Machine::Machine(asio::io_context& io, Tcp::endpoint at, double cores, std::uint64_t seed, Watcher watcher)
-    : io_(io), acceptor_(listening(io, at)), timer_(io), cores_(cores), chance_(seed),
-      watcher_(std::move(watcher)), at_(steady_now()), up_at_(at_), busy_at_(at_) {
-  asio::co_spawn(io_, accept(), asio::detached);
+Door::Door(asio::io_context& io, Tcp::endpoint at, std::function<void(Tcp::socket)> taken)
+    : io_(io), at_(at), taken_(std::move(taken)) {
+  open(at);
+}
+
+void Door::shut() {
+  asio::error_code ignored;
+  if (acceptor_) acceptor_->close(ignored); // its wait ends with an error
+  acceptor_.reset();
+}
+
+void Door::open(Tcp::endpoint at) {
+  if (acceptor_ && at == at_) return;
+  shut();
+  acceptor_ = std::make_shared<Tcp::acceptor>(listening(io_, at));
+  at_ = acceptor_->local_endpoint();
+  asio::co_spawn(io_, accept(acceptor_), asio::detached);
 }
 
-asio::awaitable<void> Machine::accept() {
+// Kept over each wait, as another may have taken its place by then.
+asio::awaitable<void> Door::accept(std::shared_ptr<Tcp::acceptor> mine) {
   for (;;) {
     asio::error_code error;
-    Tcp::socket socket = co_await acceptor_.async_accept(into(error));
-    if (error) co_return;
-    socket.set_option(Tcp::no_delay(true), error);
-    link_ = std::make_unique<Tcp::socket>(std::move(socket)); // a new link replaces the one before
-    out_.clear();
-    writing_ = false;
-    asio::co_spawn(io_, read(++links_), asio::detached);
+    Tcp::socket socket = co_await mine->async_accept(into(error));
+    if (error || acceptor_ != mine) co_return;
+    taken_(std::move(socket));
   }
 }
 
+// ---- the interpreter
+
+Machine::Machine(asio::io_context& io, Tcp::endpoint at, double cores, std::uint64_t seed, Watcher watcher)
+    : io_(io), door_(io, at,
+                     [this](Tcp::socket socket) {
+                       asio::error_code ignored;
+                       socket.set_option(Tcp::no_delay(true), ignored);
+                       // A new link replaces the one before.
+                       link_ = std::make_unique<Tcp::socket>(std::move(socket));
+                       out_.clear();
+                       writing_ = false;
+                       asio::co_spawn(io_, read(++links_), asio::detached);
+                     }),
+      timer_(io), cores_(cores), chance_(seed), watcher_(std::move(watcher)), at_(steady_now()), up_at_(at_),
+      busy_at_(at_) {}
+
 asio::awaitable<void> Machine::read(std::uint64_t link) {
   std::string in;
   std::array<char, 16 * 1024> some;
@@ -308,31 +334,10 @@
 // ---- the records service
 
 RecordsService::RecordsService(asio::io_context& io, Tcp::endpoint at, std::uint64_t seed)
-    : io_(io), at_(at), acceptor_(std::make_unique<Tcp::acceptor>(listening(io, at))), chance_(seed) {
-  at_ = acceptor_->local_endpoint();
-  asio::co_spawn(io_, accept(), asio::detached);
-}
-
-void RecordsService::down(bool yes) {
-  if (yes == !acceptor_) return;
-  if (yes) {
-    acceptor_.reset();
-    return;
-  }
-  acceptor_ = std::make_unique<Tcp::acceptor>(listening(io_, at_));
-  asio::co_spawn(io_, accept(), asio::detached);
-}
-
-asio::awaitable<void> RecordsService::accept() {
-  for (;;) {
-    asio::error_code error;
-    Tcp::acceptor* const at = acceptor_.get();
-    if (!at) co_return;
-    Tcp::socket socket = co_await at->async_accept(into(error));
-    if (error || acceptor_.get() != at) co_return;
-    asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
-  }
-}
+    : io_(io),
+      door_(io, at,
+            [this](Tcp::socket socket) { asio::co_spawn(io_, serve(std::move(socket)), asio::detached); }),
+      chance_(seed) {}
 
 namespace {
 // The next request: its head, with the body behind it. Empty at the end.
@@ -398,18 +403,10 @@
 // ---- the announce service
 
 AnnounceService::AnnounceService(asio::io_context& io, Tcp::endpoint at, std::uint64_t seed)
-    : io_(io), acceptor_(listening(io, at)), chance_(seed) {
-  asio::co_spawn(io_, accept(), asio::detached);
-}
-
-asio::awaitable<void> AnnounceService::accept() {
-  for (;;) {
-    asio::error_code error;
-    Tcp::socket socket = co_await acceptor_.async_accept(into(error));
-    if (error) co_return;
-    asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
-  }
-}
+    : io_(io),
+      door_(io, at,
+            [this](Tcp::socket socket) { asio::co_spawn(io_, serve(std::move(socket)), asio::detached); }),
+      chance_(seed) {}
 
 asio::awaitable<void> AnnounceService::serve(Tcp::socket socket) {
   std::string in;
--- a/standin/party.hpp
+++ b/standin/party.hpp
@@ -37,6 +37,25 @@
   std::function<void(OpId, Outcome)> ended;
 };
 
+// Where a party listens. It can be shut and opened again, also at another address; what it has accepted goes
+// on.
+class Door {
+ public:
+  Door(asio::io_context& io, Tcp::endpoint at, std::function<void(Tcp::socket)> taken);
+  void shut();
+  void open(Tcp::endpoint at);
+  bool is_open() const { return acceptor_ != nullptr; }
+  Tcp::endpoint address() const { return at_; } // that it has, or had last
+
+ private:
+  asio::awaitable<void> accept(std::shared_ptr<Tcp::acceptor> mine);
+
+  asio::io_context& io_;
+  Tcp::endpoint at_;
+  std::function<void(Tcp::socket)> taken_;
+  std::shared_ptr<Tcp::acceptor> acceptor_;
+};
+
 class Machine {
  public:
   Machine(asio::io_context& io, Tcp::endpoint at, double cores, std::uint64_t seed, Watcher watcher);
@@ -47,10 +66,12 @@
   void remarks(double part) { remarks_ = part; }   // remarks between them
   void speed(double of_usual);                     // of each core; 0: they stand still
   void fail_runs(double part) { failing_ = part; } // runs that end in `fault`
+  void move_to(Tcp::endpoint at) { door_.open(at); }
 
   std::uint64_t runs() const { return runs_; }
   std::uint64_t turned_down() const { return turned_down_; } // commands that it could not carry out
-  Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  bool linked() const { return link_ != nullptr; }
+  Tcp::endpoint address() const { return door_.address(); }
 
  private:
   struct Run {
@@ -60,7 +81,6 @@
     bool calling = false;
     Nanos begun = 0;
   };
-  asio::awaitable<void> accept();
   asio::awaitable<void> read(std::uint64_t link);
   void line(std::string_view text);
   void notice(OpId id, const std::string& what);
@@ -72,7 +92,7 @@
   void end(OpId id, const char* code, Outcome outcome, const std::string& result);
 
   asio::io_context& io_;
-  Tcp::acceptor acceptor_;
+  Door door_;
   std::unique_ptr<Tcp::socket> link_;
   std::uint64_t links_ = 0;
   asio::steady_timer timer_;
@@ -106,18 +126,17 @@
   void spoilt(double part) { spoilt_ = part; }      // replies that can't be read
   void turned_away(double part) { away_ = part; }   // 503, never run
   void resets(double part) { resets_ = part; }
-  void down(bool yes); // refuses connections
+  void down(bool yes) { yes ? door_.shut() : door_.open(door_.address()); } // refuses connections
+  void move_to(Tcp::endpoint at) { door_.open(at); }
 
   std::uint64_t calls() const { return calls_; }
-  Tcp::endpoint address() const { return at_; }
+  Tcp::endpoint address() const { return door_.address(); }
 
  private:
-  asio::awaitable<void> accept();
   asio::awaitable<void> serve(Tcp::socket socket);
 
   asio::io_context& io_;
-  Tcp::endpoint at_;
-  std::unique_ptr<Tcp::acceptor> acceptor_;
+  Door door_;
   Pcg chance_;
   Nanos usual_ = 12'000'000;
   int crowded_from_ = 8;
@@ -131,15 +150,16 @@
   AnnounceService(asio::io_context& io, Tcp::endpoint at, std::uint64_t seed);
   void silent(double part) { silent_ = part; }
   std::uint64_t reports() const { return reports_; }
+  void down(bool yes) { yes ? door_.shut() : door_.open(door_.address()); }
+  void move_to(Tcp::endpoint at) { door_.open(at); }
   bool listed() const { return listed_; } // as last reported
-  Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  Tcp::endpoint address() const { return door_.address(); }
 
  private:
-  asio::awaitable<void> accept();
   asio::awaitable<void> serve(Tcp::socket socket);
 
   asio::io_context& io_;
-  Tcp::acceptor acceptor_;
+  Door door_;
   Pcg chance_;
   double silent_ = 0;
   std::uint64_t reports_ = 0;
--- a/standin/script.cpp
+++ b/standin/script.cpp
@@ -16,10 +16,11 @@
                                                {"records-spoilt", true}, {"records-away", true},
                                                {"records-reset", true},  {"records-down", false},
                                                {"records-up", false},    {"announce-silent", true},
-                                               {"reload", false},        {"leave", false},
-                                               {"strangers", true},      {"callers-reset", true},
-                                               {"recording", true},      {"rate", true},
-                                               {"resend", true}};
+                                               {"announce-down", false}, {"announce-up", false},
+                                               {"move", false},          {"reload", false},
+                                               {"leave", false},         {"strangers", true},
+                                               {"callers-reset", true},  {"recording", true},
+                                               {"rate", true},           {"resend", true}};
   return all;
 }
 } // namespace
--- /dev/null
+++ b/tests/place.hpp
@@ -0,0 +1,196 @@
+// For tests of a server's life in simulated time, a millisecond a step: a core with a machine that runs what
+// it is told, and a service below whose calls it makes, with a count of its own of what stands there. A call
+// is in hand from its order until it is answered; one given up stays until its end, for the told time at the
+// most.
+#pragma once
+
+#include "core.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+using namespace cometshift;
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos second = 1000 * ms;
+constexpr Nanos linger = 200 * ms;
+constexpr Nanos window = 5 * second;
+constexpr double share = 0.55;
+constexpr Nanos hop = 5 * ms; // until a start is on the cores, a reply with its run
+
+inline Given settings(unsigned server) {
+  Given given{{"cores", 2.0},         {"fall_multiple", 4.0},
+              {"memory_kb", 40000.0}, {"run_factor", 4.0},
+              {"key_kb", 2.0},        {"drain_grace_ns", 2e9},
+              {"callers", 3.0},       {"call_share", share},
+              {"calls_over_ns", 5e9}, {"call_linger_ns", static_cast<double>(linger)},
+              {"memory_mb", 64.0},    {"stop_ns", 3e9},
+              {"seed_high", 1.0},     {"seed_low", 2.0 + server},
+              {"name", "n"},          {"tells_patience", 1.0}};
+  for (int t = 0; t < 2; ++t) {
+    const std::string at = "op_type." + std::to_string(t) + ".";
+    given[at + "name"] = t == 0 ? "look" : "book";
+    given[at + "repeats"] = t == 0 ? "retryable" : "keyed";
+    given[at + "op_timeout_ns"] = 4e9;
+    given[at + "target_latency_ns"] = 1e9;
+    given[at + "may_call"] = 1.0;
+    if (t == 1) given[at + "key_window_ns"] = 18e9;
+  }
+  return given;
+}
+
+// The service: how long its calls take from now on. While it stands still nothing ends.
+struct Service {
+  Nanos takes = 5 * ms;
+  Nanos stands_until = 0;
+  double mute = 0; // part of the replies that never come
+};
+
+struct Place : Orders {
+  struct Call {
+    Nanos made = 0, ends = 0, times_out = 0;
+    bool mute = false;
+  };
+  const Service& service;
+  unsigned number;
+  Pcg chance;
+  Nanos now = 0;
+  std::unique_ptr<Core> core;
+  std::map<OpId, Call> calls;
+  std::set<OpId> on_way, waiting; // runs before their call, and at it
+  std::set<OpId> over_ops;        // of those on the way
+  std::multimap<Nanos, std::function<void()>> later;
+  std::uint64_t ops = 0;
+  int acked = 0, failed_ops = 0, nacked = 0;
+  WindowMean in_hand{window, 0}; // as the service has it
+  std::multiset<Nanos> given_up; // ends of those that stay
+  double most = 0;
+
+  Place(const Service& s, unsigned n) : service(s), number(n), chance(n + 1) { begin(0, 3600 * second); }
+  void begin(Nanos at, Nanos machine_up_for) {
+    now = at;
+    core.reset(new Core(now, settings(number), *this));
+    core->machine_up(now, machine_up_for);
+    core->link_up(now, StartNo{0});
+  }
+  void kill() {
+    for (const auto& [op, call] : calls) leave(call);
+    calls.clear();
+    waiting.clear();
+    on_way.clear();
+    over_ops.clear();
+    later.clear();
+    core.reset();
+  }
+  void leave(const Call& call) {
+    const Nanos end = std::min(std::max(call.ends, service.stands_until), now + linger);
+    given_up.insert(std::max(now, end));
+  }
+  void after(Nanos time, std::function<void()> what) { later.emplace(now + time, std::move(what)); }
+
+  void over(OpId op, Outcome outcome) {
+    const Call call = calls.at(op);
+    calls.erase(op);
+    if (outcome == Outcome::done)
+      in_hand.change(now, -1);
+    else
+      leave(call);
+    core->call_over(now, op, outcome, Content("reply"));
+  }
+  // Its op is over: a run at its call ends there, one on the way to it when it comes there.
+  void end_at_call(OpId op) {
+    if (waiting.erase(op) > 0)
+      after(hop, [this, op] { core->run_over(now, op, Outcome::halted, 20 * ms, {}); });
+    else if (on_way.contains(op))
+      over_ops.insert(op);
+  }
+  void lose(OpId op, Line line) {
+    core->line_lost(now, line);
+    end_at_call(op);
+  }
+  // An op of the next number, each third keyed; with the mark of an earlier one where that is given.
+  OpId ask(ConnectionId connection, CallerId caller, const std::string& mark) {
+    const OpId id{++ops * 100 + number};
+    const OpTypeId type{!mark.empty() || ops % 3 == 0};
+    core->op_came(now, {connection, StreamId{static_cast<std::uint32_t>(ops)}}, id, type, TenantId{0}, caller,
+                  now - ms, 4 * second, 10, 0.5,
+                  type.raw == 0  ? ""
+                  : mark.empty() ? std::to_string(id.raw)
+                                 : mark,
+                  "", Content("body"), {type.raw, 7});
+    return id;
+  }
+  void step(Nanos at, bool asks) {
+    now = at;
+    while (!given_up.empty() && *given_up.begin() <= now) {
+      in_hand.change(now, -1);
+      given_up.erase(given_up.begin());
+    }
+    in_hand.advance(now);
+    most = std::max(most, in_hand.mean_with(in_hand.count(), 0));
+    if (!core) return;
+    while (!later.empty() && later.begin()->first <= now) {
+      const auto what = std::move(later.begin()->second);
+      later.erase(later.begin());
+      what();
+    }
+    std::vector<OpId> done, late;
+    for (const auto& [op, call] : calls) {
+      if (!call.mute && call.ends <= now && service.stands_until <= now)
+        done.push_back(op);
+      else if (call.times_out <= now)
+        late.push_back(op);
+    }
+    for (const OpId op : done) over(op, Outcome::done);
+    for (const OpId op : late) over(op, Outcome::timed_out);
+    if (asks) ask(ConnectionId{1}, CallerId{ops % 3}, {});
+    if (core->anything_due(now)) {
+      const double gauges[] = {0.5, 1};
+      core->gauges(now, gauges);
+      core->due(now);
+    }
+    while (core->unsettled()) core->settle(now);
+  }
+
+  void served(Line, OpId, Content) override { ++acked; }
+  void refused(Line, OpId, Why, Nanos, bool) override { ++nacked; }
+  void failed(Line, OpId op, Why) override {
+    ++failed_ops;
+    end_at_call(op);
+  }
+  void strike(Line) override {}
+  void start(OpId op, OpTypeId, const Content&, StartNo) override {
+    on_way.insert(op);
+    after(hop + 10 * ms, [this, op] {
+      on_way.erase(op);
+      if (over_ops.erase(op) > 0) return core->run_over(now, op, Outcome::halted, 20 * ms, {});
+      waiting.insert(op);
+      core->call_wanted(now, op, Content("call"));
+    });
+  }
+  void resume(OpId op, const Content&) override {
+    waiting.erase(op);
+    after(hop, [this, op] { core->run_over(now, op, Outcome::done, 20 * ms, Content("result")); });
+  }
+  void call(OpId op, Nanos time_out, const Content&) override {
+    in_hand.change(now, 1);
+    calls[op] = {now, now + service.takes, now + time_out, chance.unit() < service.mute};
+  }
+  void give_up_call(OpId op) override {
+    const auto at = calls.find(op);
+    if (at == calls.end()) return;
+    leave(at->second);
+    calls.erase(at);
+  }
+  void health(bool) override {}
+  void tell_callers(double) override {}
+  void idle_close(Nanos) override {}
+  void pace(Pace, Nanos) override {}
+  void when_full(std::span<const Way>, int) override {}
+  void close_doors() override {}
+  void note(const char*, std::string_view) override {}
+};
