--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -125,7 +125,7 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
-  call_limit_ = calls_most * call_share_;
+  call_limit_ = std::max(few_calls, calls_most * call_share_);
   idle_ = idle_told_ = span(given, "idle_ns", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = span(given, "call_linger_ns", 0);
