One copy, one unused accessor and one include less in leases and the stand-ins

Need: a read of the whole change. A copy of the rounds in Leases::settle_round, Door::is_open and an include had no use; three lines of the header's list of settings were broken by the formatter. Behaviour as before: the traces of leases, its 24 faults, waves and reloaded are the same.

--- a/leases/leases.cpp
+++ b/leases/leases.cpp
@@ -236,7 +236,6 @@
   const bool blocked = wish.block > now; // else only the token was too small: the next is greater
   const bool first = wish.token > wish.floor;
   give_back(lease, wish);
-  const int rounds = wish.rounds;
   wish.number = AskNo{++asks_};
   if (!blocked)
     wish.next = now;
@@ -244,7 +243,7 @@
     wish.next = wish.block + rest(1); // held by another: asked for again when that may be over
     wish.rounds = 0;
   } else
-    wish.next = now + rest(first ? 0 : rounds);
+    wish.next = now + rest(first ? 0 : wish.rounds);
 }
 
 Token Leases::may_act(Nanos now, std::string_view lease, Nanos act) const {
--- a/leases/leases.hpp
+++ b/leases/leases.hpp
@@ -59,16 +59,13 @@
  public:
   // `figures`, spans in ns:
   // - leases.term: for how long a voter grants
-  // - leases.longest_term: the longest term that any member of this fleet has had set for a term's time
-  // before;
-  //   a voter that starts is silent that long
+  // - leases.longest_term: the longest that any member has had set for a term's time before; a voter that
+  //   starts is silent that long
   // - leases.drift: bound on how far a clock's rate is from true, as a part
-  // - leases.longest_act: of a target that can't refuse old tokens, its next holder waits that long; 0: all
-  // can
+  // - leases.longest_act: of a target that can't refuse old tokens, its next holder waits that long; 0: none
   // - leases.most_terms: after so many a holder gives others a turn, if they ask; 0: never
-  // - leases.first_token: where tokens begin, a count that is greater at each start than one a millisecond
-  // has
-  //   made of any before, as Unix time in ms. A hint: where it is none, tokens may go back after most voters
+  // - leases.first_token: where tokens begin, a count that is greater at each start than one a
+  //   millisecond has made of any before, as Unix time in ms. A hint: where it is none, tokens may go back after most voters
   //   forgot, and a target's refusal puts it right
   // - leases.most: names that are known at once, as a voter and as one who asks, each
   Leases(Nanos now, MemberId self, Incarnation incarnation, std::vector<MemberId> voters,
--- a/standin/party.hpp
+++ b/standin/party.hpp
@@ -44,7 +44,6 @@
   Door(asio::io_context& io, Tcp::endpoint at, std::function<void(Tcp::socket)> taken);
   void shut();
   void open(Tcp::endpoint at);
-  bool is_open() const { return acceptor_ != nullptr; }
   Tcp::endpoint address() const { return at_; } // that it has, or had last
 
  private:
--- a/tests/fleet_of_leases.hpp
+++ b/tests/fleet_of_leases.hpp
@@ -9,7 +9,6 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <queue>
 
 using namespace cometshift;
