--- /dev/null
+++ b/fleet/referee.cpp
@@ -0,0 +1,68 @@
+#include "referee.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/read_until.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+
+#include <charconv>
+
+namespace cometshift::fleet {
+
+namespace {
+constexpr std::size_t most_head = 4 * 1024;
+auto into(asio::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+// What stands between `before` and the end of its line.
+std::string_view behind(std::string_view head, std::string_view before) {
+  const std::size_t at = head.find(before);
+  if (at == std::string_view::npos) return {};
+  const std::string_view rest = head.substr(at + before.size());
+  return rest.substr(0, rest.find_first_of("\r\n"));
+}
+template <class N>
+bool whole(std::string_view text, N& value) {
+  const auto [end, wrong] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return wrong == std::errc() && end == text.data() + text.size();
+}
+} // namespace
+
+Referee::Referee(asio::io_context& io, asio::ip::tcp::endpoint at, Judge& judge, std::function<Nanos()> now,
+                 Nanos takes)
+    : io_(io), judge_(judge), now_(std::move(now)), takes_(takes),
+      door_(io, at, [this](asio::ip::tcp::socket socket) {
+        asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+      }) {}
+
+asio::awaitable<void> Referee::serve(asio::ip::tcp::socket socket) {
+  asio::error_code error;
+  std::string head;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(head, most_head), "\r\n\r\n", into(error));
+  if (error) co_return; // nothing was asked
+  const std::string_view path = behind(head, "POST /task/");
+  const std::string task(path.substr(0, path.find(' ')));
+  std::uint64_t token = 0;
+  unsigned member = 0;
+  if (task.empty() || !whole(behind(head, "Fencing-Token: "), token) ||
+      !whole(behind(head, "Member: "), member)) {
+    ++unreadable_;
+    co_return;
+  }
+  const bool fences = task.starts_with("fenced");
+  const std::size_t act = judge_.begins(now_(), task, fences, member, Token{token});
+  std::string reply = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  if (judge_.acts()[act].refused) {
+    reply = "HTTP/1.1 409 Conflict\r\nGreater-Token: " + std::to_string(judge_.seen(task).raw) +
+            "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  } else {
+    asio::steady_timer timer(io_, std::chrono::nanoseconds(takes_));
+    co_await timer.async_wait(into(error));
+    judge_.ends(now_(), act);
+  }
+  co_await asio::async_write(socket, asio::buffer(reply), into(error));
+}
+
+} // namespace cometshift::fleet
--- /dev/null
+++ b/fleet/referee.hpp
@@ -0,0 +1,31 @@
+// Where the fleet's tasks are done: one process, one clock, every act with its begin, its end, its member and
+// its token, told to a judge. "POST /task/NAME" takes a while and answers 200; a task whose name begins with
+// "fenced" is refused with 409 where its token is smaller than the greatest seen, which a "plain" one can't
+// be.
+#pragma once
+
+#include "judge.hpp"
+#include "party.hpp"
+
+#include <functional>
+
+namespace cometshift::fleet {
+
+class Referee {
+ public:
+  Referee(asio::io_context& io, asio::ip::tcp::endpoint at, Judge& judge, std::function<Nanos()> now,
+          Nanos takes);
+  std::uint64_t unreadable() const { return unreadable_; }
+
+ private:
+  asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+
+  asio::io_context& io_;
+  Judge& judge_;
+  std::function<Nanos()> now_;
+  Nanos takes_;
+  std::uint64_t unreadable_ = 0;
+  standin::Door door_;
+};
+
+} // namespace cometshift::fleet
--- a/leases/leases.hpp
+++ b/leases/leases.hpp
@@ -10,8 +10,9 @@
 // once.
 //
 // Times: of the caller's own clock, ns, which never goes back and goes on while the machine sleeps; no two
-// members' are compared. Spans: ns. Ownership: a view holds until the call returns. Nothing that is ordered
-// may call back within the order.
+// members' are compared. A voter's side (the constructor, `asked`, `released`, `silent`) may run by another
+// clock than the side that asks, as no time of the one meets one of the other (clocks.hpp). Spans: ns.
+// Ownership: a view holds until the call returns. Nothing that is ordered may call back within the order.
 //
 // Errors: the constructor throws std::invalid_argument with the name of a setting that is missing or
 // senseless. What comes from others and makes no sense is counted and changes nothing.
@@ -65,8 +66,8 @@
   // - leases.longest_act: of a target that can't refuse old tokens, its next holder waits that long; 0: none
   // - leases.most_terms: after so many a holder gives others a turn, if they ask; 0: never
   // - leases.first_token: where tokens begin, a count that is greater at each start than one a
-  //   millisecond has made of any before, as Unix time in ms. A hint: where it is none, tokens may go back after most voters
-  //   forgot, and a target's refusal puts it right
+  //   millisecond has made of any before, as Unix time in ms. A hint: where it is none, tokens may go back
+  //   after most voters forgot, and a target's refusal puts it right
   // - leases.most: names that are known at once, as a voter and as one who asks, each
   Leases(Nanos now, MemberId self, Incarnation incarnation, std::vector<MemberId> voters,
          const Given& figures, std::uint64_t seed, LeaseOrders& orders);
--- a/load/callers.cpp
+++ b/load/callers.cpp
@@ -1,6 +1,7 @@
 #include "callers.hpp"
 
 #include "hex.hpp"
+#include "site.hpp"
 
 #include <asio/co_spawn.hpp>
 #include <asio/connect.hpp>
@@ -33,11 +34,6 @@
   for (int i = bytes; i-- > 0;) value = value << 8 | static_cast<unsigned char>(at[i]);
   return value;
 }
-Nanos unix_now() {
-  return std::chrono::duration_cast<std::chrono::nanoseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
 std::string hex(OpId id) {
   std::string text;
   put_hex(text, id.raw);
@@ -77,7 +73,14 @@
   done_asking_ = true;
 }
 
+void Callers::stop() {
+  stopped_ = true;
+  length_ = 0;
+  reset_some(1);
+}
+
 void Callers::send(Request& request) {
+  if (stopped_) return;
   const Kind& kind = demand_.kinds()[request.kind];
   Held c;
   for (auto& [id, one] : connections_)
--- a/load/callers.hpp
+++ b/load/callers.hpp
@@ -26,6 +26,7 @@
           std::vector<std::string> tenants);
 
   void begin(Nanos length); // asks for so long, then no more
+  void stop();              // asks for nothing more and ends what is open, as where the server is killed
   bool idle() const { return open_ == 0 && done_asking_; }
   void reset_some(double part);
   void strangers(int count, std::uint64_t seed);
@@ -93,6 +94,7 @@
   Nanos begun_ = 0;
   Nanos length_ = 0;
   bool done_asking_ = false;
+  bool stopped_ = false;
 };
 
 } // namespace cometshift::load
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -6,13 +6,13 @@
 #include "child.hpp"
 #include "party.hpp"
 #include "script.hpp"
+#include "site.hpp"
 
 #include <CLI/CLI.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
-#include <fstream>
 #include <unistd.h>
 
 using namespace cometshift;
@@ -39,71 +39,6 @@
   std::string json;
 };
 
-std::vector<Kind> kinds() {
-  return {{.name = "bay-check",
-           .part = 0.62,
-           .work_us = 24'000,
-           .calls = 1,
-           .importance = 1,
-           .target = 700 * ms,
-           .limit = 1800 * ms,
-           .keyed = false},
-          {.name = "booking",
-           .part = 0.38,
-           .work_us = 40'000,
-           .calls = 2,
-           .importance = 2,
-           .target = 1200 * ms,
-           .limit = 3000 * ms,
-           .keyed = true}};
-}
-
-std::string configuration(const Wanted& wanted, const std::string& listen, const std::string& vm,
-                          const std::string& announce, const std::string& records) {
-  std::string text = "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"vm\":\"" + vm + "\",\"announce\":\"" +
-                     announce + "\",\"records\":\"" + records + "\",\"seed\":\"";
-  char more[160];
-  std::snprintf(more, sizeof more,
-                "%016llx\",\"stop_ms\":%lld,\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":512},",
-                static_cast<unsigned long long>(wanted.seed), static_cast<long long>(leave_time / ms));
-  text += more;
-  text +=
-      "\"settings\":{\"fleet_size\":1,\"value_by\":\"request\",\"over_share_worth\":0.05,\"family_info\":{"
-      "\"callers\":" +
-      std::to_string(wanted.callers) + ",\"cpus\":" + std::to_string(static_cast<int>(wanted.cores)) +
-      ",\"mem_limit_kb\":20000,\"run_factor\":4.0,\"key_kb\":2,\"below\":\"common\",\"calls_out\":8,"
-      "\"calls_over_ns\":5000000000,\"stays_for_ns\":200000000,\"calls_by_class\":[true,true],\"cold\":false,"
-      "\"say\":\"min_rank\",\"heeded_ns\":1000000000,\"idle_ns\":5000000000,\"gauges\":[\"cpu_busy\","
-      "\"runnable\","
-      "\"mem_used\",\"sockets\"],\"halt\":\"none\",\"passes_deadline\":true},\"categories\":[";
-  for (const Kind& kind : kinds()) {
-    if (text.back() == '}') text += ',';
-    text += "{\"name\":\"" + kind.name + "\",\"importance\":" + std::to_string(kind.importance) +
-            ",\"target_ns\":" + std::to_string(kind.target) +
-            ",\"deadline_ns\":" + std::to_string(kind.limit) + ",\"effect\":\"" +
-            (kind.keyed ? "idempotency_key\",\"key_ttl_ns\":9000000000" : "read_like\"") + "}";
-  }
-  return text +
-         "],\"parties\":[{\"name\":\"main-lot\",\"quota_rps\":100},{\"name\":\"long-stay\",\"quota_rps\":100}"
-         "],"
-         "\"invariants\":{\"drain_grace_ns\":2000000000,\"fall_multiple\":8.0,\"cold_from\":0.25,"
-         "\"warm_after_ns\":5000000000},\"limits\":{\"retry_after\":true,\"max_retry_after_ns\":1000000000},"
-         "\"clients\":{\"marks_retry\":false}}}";
-}
-
-void write_file(const std::string& path, const std::string& text) {
-  std::ofstream out(path, std::ios::binary | std::ios::trunc);
-  out << text;
-  if (!out.flush()) throw std::runtime_error(path + ": can't be written");
-}
-std::string read_file(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) throw std::runtime_error(path + ": can't be read");
-  return {std::istreambuf_iterator<char>(in), {}};
-}
-std::string words(const asio::ip::tcp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
 float part_of(std::vector<float>& all, double part) {
   if (all.empty()) return 0;
   const auto at = static_cast<std::size_t>(part * static_cast<double>(all.size() - 1));
@@ -128,12 +63,7 @@
       wanted.seed,
       {.rate = wanted.rate, .callers = wanted.callers, .tenants = {0.6, 0.4}, .client_tries = wanted.tries},
       kinds());
-  Callers callers(io, at(5050), demand, rules, {"main-lot", "long-stay"});
-  const auto unix_now = [] {
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-  };
+  Callers callers(io, at(5050), demand, rules, tenants());
   standin::Machine machine(io, at(7300), wanted.cores, wanted.seed * 3 + 1,
                            {.started = [&](OpId op) { callers.ran(op), rules.started(unix_now(), op); },
                             .ended = [&](OpId op, Outcome outcome) { rules.run_over(op, outcome); }});
@@ -143,8 +73,11 @@
   std::filesystem::create_directories(wanted.folder);
   const std::string config = wanted.folder + "/config.json", log = wanted.folder + "/server.log";
   const auto write_configuration = [&] {
-    write_file(config, configuration(wanted, words(at(5050)), words(machine.address()),
-                                     words(announce.address()), words(records.address())));
+    write_file(
+        config,
+        configuration(
+            {.seed = wanted.seed, .leave_time = leave_time, .callers = wanted.callers, .cores = wanted.cores},
+            words(at(5050)), words(machine.address()), words(announce.address()), words(records.address())));
   };
   write_configuration();
   std::vector<std::string> command{wanted.server};
--- a/node/frames.hpp
+++ b/node/frames.hpp
@@ -12,7 +12,15 @@
 
 namespace cometshift::frames {
 
-enum Type : std::uint8_t { ask = 10, answer = 11, check = 20, checked = 21, no_more = 30 };
+enum Type : std::uint8_t {
+  ask = 10,
+  answer = 11,
+  check = 20,
+  checked = 21,
+  no_more = 30,
+  peer_hello = 40, // between servers of a fleet only (peers/)
+  peer_letter = 41
+};
 enum Code : std::uint8_t { good = 0, bad = 1, failed = 2, refused = 14 };
 
 constexpr std::size_t head_size = 9; // of a frame, its length included
@@ -55,6 +63,7 @@
 void put_answer(std::string& out, Type type, std::uint32_t stream, Code code, double feedback,
                 std::int64_t later_ms, bool give_up, std::size_t body_size);
 void put_no_more(std::string& out);
+void put_frame(std::string& out, Type type, std::uint32_t stream, std::string_view payload);
 
 // Whole texts only: whole decimal numbers, and numbers with a fraction.
 bool read_whole(std::string_view text, std::int64_t& into);
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -59,7 +59,7 @@
 } // namespace
 
 Host::Host(const Given& given, std::string path, const Given& operators, std::string operator_path)
-    : signals_(io_), hang_ups_(io_), path_(catching(hang_ups_, std::move(path))),
+    : signals_(io_), hang_ups_(io_), questions_(io_), path_(catching(hang_ups_, std::move(path))),
       operator_path_(std::move(operator_path)), timer_(io_), names_(names_in(given)),
       front_(io_, text(given, "listen", ""), part_of(given, "sockets", own_part - 2, own_part),
              part_of(given, "memory_mb", mb, answers_part), names_, *this),
@@ -69,6 +69,11 @@
   core_.reset(new Core(now(), given, tape_));
   tape_.bind(*core_);
   take(operators);
+  if (number(operators, "fleet.on", 0) != 0) {
+    member_ = std::make_unique<Member>(io_, part_of(operators, "fleet."));
+    questions_.add(SIGUSR1);
+    await_question();
+  }
   if (!path_.empty()) await_hang_up();
 }
 
@@ -107,7 +112,16 @@
   });
 }
 
-// What operators set can be taken at any time; what is the same already goes on undisturbed.
+void Host::await_question() {
+  questions_.async_wait([this](asio::error_code error, int) {
+    if (error) return;
+    member_->tell_standing();
+    await_question();
+  });
+}
+
+// What operators set can be taken at any time, but for the fleet; what is the same already goes on
+// undisturbed.
 void Host::take(const Given& operators) {
   set_log(text(operators, "log.format", "text") == "json", text(operators, "log.level", "info"));
   if (pools_in(operators) != pools_in(operators_)) tape_.set_pools(now(), pools_in(operators));
@@ -116,6 +130,9 @@
     tape_.end(now());
     if (number(wanted, "on", 0) != 0) tape_.begin(now(), wanted, files_in(text(wanted, "folder", "")));
   }
+  // A member is what it is from its start: who votes is not changed under it (docs/leases.md).
+  if (core_ && !operators_.empty() && part_of(operators, "fleet.") != part_of(operators_, "fleet."))
+    cometshift::note("reload", "what the operator file says of the fleet is taken at the next start");
   operators_ = operators;
 }
 
@@ -138,7 +155,8 @@
 }
 
 bool Host::over() const {
-  return core_->leaving() && doors_closed_ && front_.closed() && core_->all_answered();
+  return core_->leaving() && doors_closed_ && front_.closed() && core_->all_answered() &&
+         (!member_ || member_->gone());
 }
 
 void Host::turn() {
@@ -151,6 +169,7 @@
     front_.flush(now());
   } while (core_->unsettled());
   interpreter_.flush();
+  if (member_) member_->turn();
   clock_.next_turn();
   arm();
 }
@@ -176,7 +195,10 @@
   });
 }
 
-void Host::stop() { tape_.leave(now()); }
+void Host::stop() {
+  if (member_) member_->leave(); // what the fleet has of it goes on elsewhere at once
+  tape_.leave(now());
+}
 
 // ---- what the sockets bring
 
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -9,6 +9,7 @@
 #include "digest.hpp"
 #include "front.hpp"
 #include "interpreter.hpp"
+#include "member.hpp"
 #include "records.hpp"
 #include "tape.hpp"
 
@@ -72,12 +73,14 @@
   void proven(std::uint64_t question);
   bool over() const;
   void await_hang_up();
+  void await_question();
   void take(const Given& operators);
 
   asio::io_context io_;
   asio::signal_set signals_;
   asio::signal_set hang_ups_;
-  std::string path_; // of the configuration; empty: not told
+  asio::signal_set questions_; // SIGUSR1, where there is a fleet: what stands is told in the log
+  std::string path_;           // of the configuration; empty: not told
   std::string operator_path_;
   Given operators_; // as last taken
   asio::steady_timer timer_;
@@ -102,6 +105,7 @@
   Announce announce_;
   Tape tape_; // hands on to the core what happens, and to this what the core orders
   std::unique_ptr<Core> core_;
+  std::unique_ptr<Member> member_; // null: the operator file names no fleet, and nothing of it is opened
 };
 
 } // namespace cometshift
--- /dev/null
+++ b/node/member.cpp
@@ -0,0 +1,345 @@
+#include "member.hpp"
+
+#include "address.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <sodium.h>
+
+namespace cometshift {
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos clocks_apart = 20 * ms;    // in a second: more than any bound on their rates allows
+constexpr Nanos time_to_leave = 300 * ms;  // in which words that still wait are said, beyond a task's limit
+constexpr std::size_t calls_of_tasks = 16; // connections: more than are done at once
+constexpr const char* greater_token = "Greater-Token"; // of a target that refuses, the one that it knows
+
+Nanos reading(clockid_t clock) {
+  timespec at{};
+  clock_gettime(clock, &at);
+  return static_cast<Nanos>(at.tv_sec) * 1000 * ms + at.tv_nsec;
+}
+// One that goes on while the machine sleeps, and one that is never slewed; nobody sets either.
+CarefulClock started() { return {reading(CLOCK_BOOTTIME), reading(CLOCK_MONOTONIC_RAW)}; }
+double unix_ms() {
+  return static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                 std::chrono::system_clock::now().time_since_epoch())
+                                 .count());
+}
+// Another with each start, whatever the clocks say.
+std::uint64_t by_chance() {
+  if (sodium_init() < 0) throw std::runtime_error("no chance is to be had from the system");
+  std::uint64_t drawn = 0;
+  while (drawn == 0) randombytes_buf(&drawn, sizeof drawn);
+  return drawn;
+}
+
+struct Listed {
+  std::map<MemberId, Links::Tcp::endpoint> addresses; // of the others
+  std::vector<MemberId> others, voters;
+};
+Listed listed_in(const Given& fleet) {
+  Listed listed;
+  const MemberId self{static_cast<std::uint32_t>(number(fleet, "self", 0))};
+  for (int m = 0; fleet.contains("member." + std::to_string(m) + ".number"); ++m) {
+    const std::string at = "member." + std::to_string(m) + ".";
+    const MemberId member{static_cast<std::uint32_t>(number(fleet, at + "number", 0))};
+    if (number(fleet, at + "voter", 0) != 0) listed.voters.push_back(member);
+    if (member == self) continue;
+    listed.addresses[member] = endpoint_of(text(fleet, at + "address", ""));
+    listed.others.push_back(member);
+  }
+  return listed;
+}
+// For the modules, by their names.
+Given figures_in(const Given& fleet) {
+  Given figures{{"leases.term", number(fleet, "term_ns", 0)},
+                {"leases.longest_term", number(fleet, "longest_term_ns", 0)},
+                {"leases.drift", number(fleet, "drift", 0)},
+                {"leases.most_terms", number(fleet, "most_terms", 0)},
+                {"leases.most", number(fleet, "most_leases", 0)},
+                {"leases.first_token", unix_ms()},
+                {"peers.beat", number(fleet, "beat_ns", 0)},
+                {"peers.silent", number(fleet, "silent_ns", 0)},
+                {"peers.rest_least", number(fleet, "rest_least_ns", 0)},
+                {"peers.rest_most", number(fleet, "rest_most_ns", 0)},
+                {"peers.most_words", 4 * number(fleet, "most_leases", 0)}};
+  // The next holder waits out what a target that can't refuse may still be doing for the one before.
+  double longest_act = 0;
+  for (int t = 0; fleet.contains("task." + std::to_string(t) + ".name"); ++t) {
+    const std::string from = "task." + std::to_string(t) + ".";
+    for (const auto& [ours, theirs] : {std::pair{"name", "name"},
+                                       {"every", "every_ns"},
+                                       {"limit", "limit_ns"},
+                                       {"priority", "priority"},
+                                       {"most_an_hour", "most_an_hour"},
+                                       {"catch_up", "catch_up"}})
+      if (const auto at = fleet.find(from + theirs); at != fleet.end()) figures[from + ours] = at->second;
+    if (number(fleet, from + "fences", 0) == 0)
+      longest_act = std::max(longest_act, number(fleet, from + "limit_ns", 0));
+  }
+  figures["leases.longest_act"] = longest_act;
+  return figures;
+}
+std::vector<Links::Tcp::endpoint> targets_in(const Given& fleet) {
+  std::vector<Links::Tcp::endpoint> targets;
+  for (int t = 0; fleet.contains("task." + std::to_string(t) + ".name"); ++t)
+    targets.push_back(endpoint_of(text(fleet, "task." + std::to_string(t) + ".call", "")));
+  return targets;
+}
+int cut(std::string_view words) { return static_cast<int>(std::min<std::size_t>(words.size(), 128)); }
+
+} // namespace
+
+Member::Member(asio::io_context& io, const Given& fleet)
+    : io_(io), timer_(io),
+      clock_(started()), self_{text(fleet, "name", ""),
+                               MemberId{static_cast<std::uint32_t>(number(fleet, "self", 0))}, MemberId{},
+                               Incarnation{by_chance()}},
+      others_(listed_in(fleet).others), targets_(targets_in(fleet)),
+      leases_(granted_now(), self_.from, self_.incarnation, listed_in(fleet).voters, figures_in(fleet),
+              by_chance(), *this),
+      tasks_(now(), figures_in(fleet), leases_, *this),
+      peers_(now(), self_, others_, listed_in(fleet).voters, figures_in(fleet), by_chance(), *this),
+      links_(io, endpoint_of(text(fleet, "listen", "")), self_, listed_in(fleet).addresses, *this),
+      calls_(io, calls_of_tasks) {
+  note("fleet", "member %u of %s, incarnation %016llx, %zu others, %zu voters", self_.from.raw,
+       self_.fleet.c_str(), static_cast<unsigned long long>(self_.incarnation.raw), others_.size(),
+       listed_in(fleet).voters.size());
+}
+
+// ---- time
+
+Nanos Member::now() {
+  clock_.take(reading(CLOCK_BOOTTIME), reading(CLOCK_MONOTONIC_RAW));
+  if (const bool apart = clock_.apart() > clocks_apart; apart != said_apart_) {
+    said_apart_ = apart;
+    apart ? warn("fleet",
+                 "this machine's clocks differ by %lld ms in a second: it slept, or one of them is wrong",
+                 static_cast<long long>(clock_.apart() / ms))
+          : note("fleet", "this machine's clocks agree again");
+  }
+  return clock_.early();
+}
+Nanos Member::granted_now() {
+  now();
+  return clock_.late();
+}
+
+// ---- a turn
+
+void Member::turn() {
+  for (;;) {
+    while (!own_.empty()) {
+      const auto what = std::move(own_.front());
+      own_.pop_front();
+      what();
+    }
+    const Nanos at = now();
+    leases_.due(at);
+    tasks_.due(at);
+    peers_.due(at);
+    if (own_.empty()) break;
+  }
+  peers_.flush(now());
+  arm();
+}
+
+void Member::arm() {
+  Nanos next = gone() ? -1 : leave_by_; // that the time to leave is over is to be seen too
+  for (const Nanos at : {leases_.next_wake(), tasks_.next_wake(), peers_.next_wake()})
+    if (at >= 0 && (next < 0 || at < next)) next = at;
+  if (next < 0 || next == armed_) return;
+  armed_ = next;
+  timer_.expires_after(std::chrono::nanoseconds(std::max<Nanos>(0, next - now())));
+  timer_.async_wait([this](asio::error_code stopped) {
+    if (!stopped) armed_ = -1; // the turn does what is due
+  });
+}
+
+// Once the caller's own event has returned: nothing may call back within an order.
+void Member::to_self(std::function<void()> what) { own_.push_back(std::move(what)); }
+
+void Member::leave() {
+  if (leave_by_ >= 0) return;
+  const Nanos at = now();
+  Nanos longest = 0;
+  for (const Tasks::Standing& task : tasks_.standing())
+    if (task.running) longest = std::max(longest, task.limit);
+  leave_by_ = at + longest + time_to_leave;
+  tasks_.leave(at);
+  leases_.leave(at);
+  peers_.leave(at);
+}
+
+bool Member::gone() {
+  if (leave_by_ < 0) return false;
+  return now() >= leave_by_ || (own_.empty() && leases_.standing().empty() && peers_.all_said());
+}
+
+// ---- the links
+
+void Member::connected(MemberId to) { peers_.connected(now(), to); }
+void Member::written(MemberId to) { peers_.written(now(), to); }
+void Member::broken(MemberId to) { peers_.broken(now(), to); }
+bool Member::letter(const words::Speaker& speaker, std::string_view payload) {
+  return words::read_letter(payload, speaker, *this);
+}
+void Member::remark(std::string_view words) { note("peers", "%.*s", cut(words), words.data()); }
+
+void Member::dial(MemberId to) { links_.dial(to); }
+void Member::hang_up(MemberId to) { links_.hang_up(to); }
+void Member::send(MemberId to, std::string frame) { links_.send(to, std::move(frame)); }
+void Member::news(MemberId of, Hearing before, Hearing now) {
+  const std::string_view was = word_of(before), is = word_of(now);
+  note("peers", "member %u: %.*s (%.*s before)", of.raw, cut(is), is.data(), cut(was), was.data());
+}
+void Member::doubled(MemberId number) {
+  warn("peers", "two members live under the number %u: give one of them another", number.raw);
+}
+
+// ---- what others say
+
+bool Member::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
+                    Incarnation heard_of, bool leaving) {
+  return peers_.heard(now(), from, of, number, heard, heard_of, leaving);
+}
+void Member::asked(MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
+                   Nanos term) {
+  leases_.asked(granted_now(), from, of, lease, number, token, term);
+}
+void Member::released(MemberId from, Incarnation of, std::string_view lease, AskNo number) {
+  leases_.released(granted_now(), from, of, lease, number);
+}
+void Member::granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) {
+  leases_.granted(now(), from, to, lease, number, wanted);
+}
+void Member::refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
+                     Nanos left) {
+  leases_.refused(now(), from, to, lease, number, seen, left);
+}
+void Member::done(MemberId, std::string_view task, Token token, Nanos ago) {
+  tasks_.heard_done(now(), task, token, ago);
+}
+
+// ---- what the leases order
+
+void Member::ask(MemberId voter, std::string_view lease, AskNo number, Token token, Nanos term) {
+  if (voter != self_.from)
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::ask(lease, number, token, term)));
+  to_self([this, lease = std::string(lease), number, token, term] {
+    leases_.asked(granted_now(), self_.from, self_.incarnation, lease, number, token, term);
+  });
+}
+void Member::release(MemberId voter, std::string_view lease, AskNo number) {
+  if (voter != self_.from)
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::release(lease, number)));
+  to_self([this, lease = std::string(lease), number] {
+    leases_.released(granted_now(), self_.from, self_.incarnation, lease, number);
+  });
+}
+void Member::grant(MemberId to, Incarnation of, std::string_view lease, AskNo number, bool wanted) {
+  if (to != self_.from)
+    return void(peers_.say(to, Peers::Slot::answering, lease, words::grant(of, lease, number, wanted)));
+  to_self([this, of, lease = std::string(lease), number, wanted] {
+    leases_.granted(now(), self_.from, of, lease, number, wanted);
+  });
+}
+void Member::refuse(MemberId to, Incarnation of, std::string_view lease, AskNo number, Token seen,
+                    Nanos left) {
+  if (to != self_.from)
+    return void(peers_.say(to, Peers::Slot::answering, lease, words::refuse(of, lease, number, seen, left)));
+  to_self([this, of, lease = std::string(lease), number, seen, left] {
+    leases_.refused(now(), self_.from, of, lease, number, seen, left);
+  });
+}
+void Member::held(std::string_view lease, Token token, Nanos from, Nanos until) {
+  tasks_.held(lease, from);
+  Token& told = holding_[std::string(lease)];
+  if (told == token) return; // a renewal
+  told = token;
+  const Nanos at = now();
+  note("lease", "%.*s held, token %llx, from %lld ms on, for %lld ms", cut(lease), lease.data(),
+       static_cast<unsigned long long>(token.raw), static_cast<long long>((from - at) / ms),
+       static_cast<long long>((until - at) / ms));
+}
+void Member::lost(std::string_view lease, Token token, LostWhy why) {
+  tasks_.lost(lease);
+  holding_.erase(std::string(lease));
+  const std::string_view because = word_of(why);
+  note("lease", "%.*s no longer held, token %llx: %.*s", cut(lease), lease.data(),
+       static_cast<unsigned long long>(token.raw), cut(because), because.data());
+}
+
+// ---- what the tasks order
+
+void Member::begin(TaskId task, Token token, Nanos limit) {
+  const std::string& name = tasks_.name(task);
+  const std::string head =
+      "POST /task/" + name + " HTTP/1.1\r\nHost: task\r\nFencing-Token: " + std::to_string(token.raw) +
+      "\r\nMember: " + std::to_string(self_.from.raw) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  calls_.call(
+      CallId{task.raw}, targets_[task.raw], limit, head, {}, greater_token,
+      [this, task, token](HttpCalls::End end, HttpReply& reply) {
+        TaskEnd as = end == HttpCalls::End::unsent ? TaskEnd::failed : TaskEnd::unknown;
+        std::int64_t seen = 0;
+        if (end == HttpCalls::End::whole) {
+          as = reply.status() / 100 == 2 ? TaskEnd::done : TaskEnd::failed;
+          if (reply.status() == 409 && frames::read_whole(reply.header(), seen) && seen > 0)
+            as = TaskEnd::refused;
+        }
+        if (as != TaskEnd::done) {
+          const std::string_view how = word_of(as);
+          note("task", "%s: %.*s, token %llx", tasks_.name(task).c_str(), cut(how), how.data(),
+               static_cast<unsigned long long>(token.raw));
+        }
+        tasks_.ended(now(), task, token, as, Token{static_cast<std::uint64_t>(seen)});
+      },
+      // Against a stop since it was begun: what is not held any more is not done.
+      [this, task, token] { return leases_.may_act(now(), tasks_.name(task), 0) == token; });
+}
+void Member::tell_done(TaskId task, Token token) {
+  for (const MemberId other : others_)
+    peers_.say(other, Peers::Slot::telling, tasks_.name(task), words::done(tasks_.name(task), token, 0));
+}
+void Member::resting(TaskId task, Nanos rest) {
+  warn("task", "%s: fails here, another member may try for %lld ms", tasks_.name(task).c_str(),
+       static_cast<long long>(rest / ms));
+}
+
+// ---- what people ask for
+
+void Member::tell_standing() {
+  const Nanos at = now();
+  note("status", "member %u of %s, incarnation %016llx%s", self_.from.raw, self_.fleet.c_str(),
+       static_cast<unsigned long long>(self_.incarnation.raw),
+       leases_.silent(clock_.late()) ? ", silent as a voter that just started" : "");
+  for (const Leases::Standing& lease : leases_.standing()) {
+    if (lease.token.raw != 0)
+      note("status of leases", "%s: held for %lld ms, %lld ms left, token %llx", lease.lease.c_str(),
+           static_cast<long long>((at - lease.since) / ms), static_cast<long long>((lease.until - at) / ms),
+           static_cast<unsigned long long>(lease.token.raw));
+    else
+      note("status of leases", "%s: not held here, %d rounds of asking", lease.lease.c_str(), lease.rounds);
+  }
+  for (const Peers::Standing& peer : peers_.standing()) {
+    const std::string_view hearing = word_of(peer.hearing);
+    note("status of peers", "member %u: %.*s, heard %lld ms ago, %zu words wait, %llu letters, %llu dials",
+         peer.member.raw, cut(hearing), hearing.data(),
+         peer.heard_at < 0 ? -1 : static_cast<long long>((at - peer.heard_at) / ms), peer.waiting,
+         static_cast<unsigned long long>(peer.letters), static_cast<unsigned long long>(peer.dials));
+  }
+  for (const Tasks::Standing& task : tasks_.standing())
+    note("status of tasks",
+         "%s: %s, done last %lld ms ago, here %llu begun, %llu done, %llu failed, %llu refused",
+         task.name.c_str(), task.running ? "under way" : "at rest",
+         task.last < 0 ? -1 : static_cast<long long>((at - task.last) / ms),
+         static_cast<unsigned long long>(task.begun), static_cast<unsigned long long>(task.done),
+         static_cast<unsigned long long>(task.failed), static_cast<unsigned long long>(task.refused));
+}
+
+} // namespace cometshift
--- /dev/null
+++ b/node/member.hpp
@@ -0,0 +1,92 @@
+// This server as a member of its fleet, where the operator file names one: holds its leases, does the fleet's
+// tasks, and speaks with the others. Owns the timer, the links, and the calls of tasks; decides nothing, the
+// modules do (leases/, peers/). Its time is of its own: made of two clocks that nobody sets
+// (leases/clocks.hpp).
+#pragma once
+
+#include "calls.hpp"
+#include "clocks.hpp"
+#include "frames.hpp"
+#include "links.hpp"
+#include "peers.hpp"
+#include "tasks.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cometshift {
+
+class Member final : Links::Taker, PeerOrders, LeaseOrders, TaskOrders, words::Listener {
+ public:
+  // `fleet`: the operator file's part "fleet.", as operator.hpp has it. Throws std::invalid_argument.
+  Member(asio::io_context& io, const Given& fleet);
+
+  void turn(); // what is due, and what there is to say; at the end of each turn of the loop
+  void leave();
+  bool gone();          // nothing is held, and all has been said; or the time for it is over
+  void tell_standing(); // into the log
+
+ private:
+  // Links
+  void connected(MemberId to) override;
+  void written(MemberId to) override;
+  void broken(MemberId to) override;
+  bool letter(const words::Speaker& speaker, std::string_view payload) override;
+  void remark(std::string_view words) override;
+  // Peers
+  void dial(MemberId to) override;
+  void hang_up(MemberId to) override;
+  void send(MemberId to, std::string frame) override;
+  void news(MemberId of, Hearing before, Hearing now) override;
+  void doubled(MemberId number) override;
+  // Words of others
+  bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
+              bool leaving) override;
+  void asked(MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
+             Nanos term) override;
+  void released(MemberId from, Incarnation of, std::string_view lease, AskNo number) override;
+  void granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) override;
+  void refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
+               Nanos left) override;
+  void done(MemberId from, std::string_view task, Token token, Nanos ago) override;
+  // Leases
+  void ask(MemberId voter, std::string_view lease, AskNo number, Token token, Nanos term) override;
+  void release(MemberId voter, std::string_view lease, AskNo number) override;
+  void grant(MemberId to, Incarnation of, std::string_view lease, AskNo number, bool wanted) override;
+  void refuse(MemberId to, Incarnation of, std::string_view lease, AskNo number, Token seen,
+              Nanos left) override;
+  void held(std::string_view lease, Token token, Nanos from, Nanos until) override;
+  void lost(std::string_view lease, Token token, LostWhy why) override;
+  // Tasks
+  void begin(TaskId task, Token token, Nanos limit) override;
+  void tell_done(TaskId task, Token token) override;
+  void resting(TaskId task, Nanos rest) override;
+
+  Nanos now();         // of who holds
+  Nanos granted_now(); // of who granted
+  void arm();
+  void to_self(std::function<void()> what);
+
+  asio::io_context& io_;
+  asio::steady_timer timer_;
+  Nanos armed_ = -1;
+  CarefulClock clock_;
+  bool said_apart_ = false;
+  words::Speaker self_;
+  std::vector<MemberId> others_;
+  std::vector<Links::Tcp::endpoint> targets_; // of the tasks
+  std::deque<std::function<void()>> own_; // what this member says to itself, as a voter and as one who asks
+  std::map<std::string, Token, std::less<>> holding_; // told in the log already
+  Leases leases_;
+  Tasks tasks_;
+  Peers peers_;
+  Links links_;
+  HttpCalls calls_;
+  Nanos leave_by_ = -1; // what is not said by then is not
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/operator/checker.cpp
@@ -0,0 +1,195 @@
+#include "checker.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+
+namespace cometshift::operator_file {
+
+namespace {
+
+struct Unit {
+  const char* word;
+  double value;
+};
+constexpr Unit times[] = {{"ns", 1},     {"us", 1e3},          {"ms", ms},
+                          {"s", second}, {"min", 60 * second}, {"h", 3600 * second},
+                          {"d", day}};
+constexpr Unit sizes[] = {{"B", 1},     {"KB", 1e3},  {"MB", 1e6}, {"GB", 1e9},
+                          {"KiB", kib}, {"MiB", mib}, {"GiB", gib}};
+
+template <std::size_t N>
+const Unit* unit_in(const Unit (&units)[N], std::string_view word) {
+  for (const Unit& unit : units)
+    if (word == unit.word) return &unit;
+  return nullptr;
+}
+
+// With the largest unit in which it is whole.
+std::string in_words(double value, bool time) {
+  const Unit* best = nullptr;
+  const auto look = [&](const auto& units) {
+    for (const Unit& unit : units)
+      if (std::fmod(value, unit.value) == 0 && (!best || unit.value > best->value)) best = &unit;
+  };
+  time ? look(times) : look(sizes);
+  char text[32];
+  std::snprintf(text, sizeof text, "%g%s", value / best->value, best->word);
+  return text;
+}
+
+// How far two words are from each other, in letters changed, added or left out.
+std::size_t distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j < row.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t corner = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t above = row[j];
+      row[j] = std::min({above + 1, row[j - 1] + 1, corner + (a[i - 1] != b[j - 1])});
+      corner = above;
+    }
+  }
+  return row[b.size()];
+}
+
+// Figures and a port; who opens a socket finds out what is wrong beyond that.
+bool address_like(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return false;
+  unsigned port = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, wrong] = std::from_chars(text.data() + colon + 1, last, port);
+  const std::string_view host = text.substr(0, colon);
+  return wrong == std::errc() && end == last && port > 0 && port <= 65535 &&
+         host.find_first_not_of("0123456789abcdefABCDEF.:[]") == std::string_view::npos;
+}
+
+} // namespace
+
+std::string nearest(std::string_view word, const std::vector<std::string>& among) {
+  std::string best;
+  std::size_t least = word.size() / 2 + 1;
+  for (const std::string& one : among)
+    if (const std::size_t d = distance(word, one); d < least) {
+      least = d;
+      best = one;
+    }
+  return best.empty() ? "" : "; did you mean " + best + "?";
+}
+
+bool Checker::measure(const Key& key, const Value& value, double& into) {
+  const bool time = key.sort == Sort::time;
+  const char* examples = time ? "\"500ms\", \"10s\" or \"5min\"" : "\"64KiB\" or \"16MiB\"";
+  std::string word = value.type;
+  double figure = 0;
+  if (const auto* number = std::get_if<double>(&value.held)) {
+    figure = *number;
+    if (word.empty()) {
+      char text[32];
+      std::snprintf(text, sizeof text, "%g", figure);
+      wrong(value.at, std::string(key.name) + ": a figure without its unit; \"" + text +
+                          (time ? "ms" : "MiB") + "\"? It takes " + examples);
+      return false;
+    }
+  } else if (const auto* text = std::get_if<std::string>(&value.held)) {
+    char* end = nullptr;
+    figure = std::strtod(text->c_str(), &end);
+    if (end == text->c_str()) {
+      wrong(value.at,
+            std::string(key.name) + ": not a " + (time ? "time" : "size") + "; it takes " + examples);
+      return false;
+    }
+    word = end;
+  } else {
+    wrong(value.at, std::string(key.name) + ": not a " + (time ? "time" : "size") + "; it takes " + examples);
+    return false;
+  }
+  const Unit* unit = time ? unit_in(times, word) : unit_in(sizes, word);
+  if (!unit) {
+    const bool other = time ? unit_in(sizes, word) != nullptr : unit_in(times, word) != nullptr;
+    wrong(value.at, std::string(key.name) + ": " +
+                        (word.empty() ? "a figure without its unit"
+                         : other      ? "a unit of " + std::string(time ? "size" : "time") + ", " + word
+                                      : "an unknown unit, " + word) +
+                        "; it takes " + examples);
+    return false;
+  }
+  into = figure * unit->value;
+  if (!(into >= key.least && into <= key.most)) {
+    wrong(value.at, std::string(key.name) + ": out of range; from " + in_words(key.least, time) + " to " +
+                        in_words(key.most, time));
+    return false;
+  }
+  return true;
+}
+
+bool Checker::percent(const std::string& name, const Value& value, double least, double most, double& into) {
+  const auto* text = std::get_if<std::string>(&value.held);
+  char* end = nullptr;
+  if (text) into = std::strtod(text->c_str(), &end) / 100;
+  if (!text || end == text->c_str() || std::string_view(end) != "%") {
+    wrong(value.at, name + ": not a part; it takes \"20%\"");
+    return false;
+  }
+  if (into >= least && into <= most) return true;
+  char range[64];
+  std::snprintf(range, sizeof range, ": out of range; from %g%% to %g%%", 100 * least, 100 * most);
+  wrong(value.at, name + range);
+  return false;
+}
+
+void Checker::take(Given& given, const Key& key, const Value& value, const std::string& ours) {
+  double figure = 0;
+  switch (key.sort) {
+  case Sort::flag:
+    if (const bool* flag = std::get_if<bool>(&value.held))
+      given[ours] = *flag ? 1.0 : 0.0;
+    else
+      wrong(value.at, std::string(key.name) + ": not #true or #false");
+    return;
+  case Sort::time:
+  case Sort::size:
+    if (measure(key, value, figure)) given[ours] = std::floor(figure);
+    return;
+  case Sort::part:
+    if (percent(key.name, value, key.least, key.most, figure)) given[ours] = figure;
+    return;
+  case Sort::count: {
+    const double* whole = std::get_if<double>(&value.held);
+    if (!whole || *whole != std::floor(*whole) || !(*whole >= key.least && *whole <= key.most)) {
+      char range[96];
+      std::snprintf(range, sizeof range, ": not a whole number from %g to %g", key.least, key.most);
+      return wrong(value.at, key.name + std::string(range));
+    }
+    given[ours] = *whole;
+    return;
+  }
+  case Sort::address: {
+    const auto* text = std::get_if<std::string>(&value.held);
+    if (!text || !address_like(*text))
+      return wrong(value.at,
+                   std::string(key.name) + ": not an address with a port, such as \"127.0.0.1:6001\"");
+    given[ours] = *text;
+    return;
+  }
+  case Sort::folder:
+  case Sort::word: {
+    const auto* text = std::get_if<std::string>(&value.held);
+    if (!text || text->empty()) return wrong(value.at, std::string(key.name) + ": not a text");
+    if (key.sort == Sort::word &&
+        std::none_of(key.words.begin(), key.words.end(), [&](const char* word) { return *text == word; })) {
+      std::string all;
+      for (const char* word : key.words) all += std::string(all.empty() ? "" : ", ") + word;
+      return wrong(value.at, std::string(key.name) + ": " + *text + " is none of its words: " + all);
+    }
+    given[ours] = *text;
+    return;
+  }
+  }
+}
+
+} // namespace cometshift::operator_file
--- a/operator/operator.cpp
+++ b/operator/operator.cpp
@@ -1,6 +1,7 @@
 #include "operator.hpp"
 
-#include "kdl.hpp"
+#include "checker.hpp"
+#include "fleet_part.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -14,26 +15,9 @@
 
 namespace {
 
-using kdl::Node;
-using kdl::Place;
-using kdl::Value;
-
-enum class Sort { flag, time, size, part, folder, word };
-
-// One key: its place in the file, its name in the map, what it may be. The one list of them all.
-struct Key {
-  const char* node;
-  const char* name;
-  const char* ours;
-  Sort sort;
-  double least, most; // of times in ns, of sizes in bytes
-  const char* otherwise;
-  std::vector<const char*> words = {};
-};
-
-constexpr double ms = 1e6, second = 1e9, day = 86400e9;
-constexpr double kib = 1024, mib = 1024 * kib, gib = 1024 * mib;
+using namespace operator_file;
 
+// The one list of them all, but those of nodes that may stand more than once.
 const std::vector<Key>& keys() {
   static const std::vector<Key> all{
       {"log", "format", "log.format", Sort::word, 0, 0, "text", {"text", "json"}},
@@ -57,247 +41,132 @@
        0,
        "throughput",
        {"throughput", "gradient", "additive"}},
+      {"fleet", "name", "fleet.name", Sort::folder, 0, 0, ""},
+      {"fleet", "self", "fleet.self", Sort::count, 1, most_member, "1"},
+      {"fleet", "listen", "fleet.listen", Sort::address, 0, 0, ""},
+      {"fleet", "term", "fleet.term_ns", Sort::time, 100 * ms, 600 * second, "5s"},
+      {"fleet", "longest-term", "fleet.longest_term_ns", Sort::time, 100 * ms, 600 * second, "5s"},
+      {"fleet", "drift", "fleet.drift", Sort::part, 0, 0.1, "1%"},
+      {"fleet", "most-terms", "fleet.most_terms", Sort::count, 0, 1e6, "0"},
+      {"fleet", "most-leases", "fleet.most_leases", Sort::count, 1, 10'000, "256"},
+      {"fleet", "beat", "fleet.beat_ns", Sort::time, 10 * ms, 60 * second, "500ms"},
+      {"fleet", "silent", "fleet.silent_ns", Sort::time, 50 * ms, 600 * second, "2s"},
+      {"fleet", "rest-least", "fleet.rest_least_ns", Sort::time, 10 * ms, 60 * second, "50ms"},
+      {"fleet", "rest-most", "fleet.rest_most_ns", Sort::time, 10 * ms, 600 * second, "2s"},
   };
   return all;
 }
 
-struct Unit {
-  const char* word;
-  double value;
-};
-constexpr Unit times[] = {{"ns", 1},     {"us", 1e3},          {"ms", ms},
-                          {"s", second}, {"min", 60 * second}, {"h", 3600 * second},
-                          {"d", day}};
-constexpr Unit sizes[] = {{"B", 1},     {"KB", 1e3},  {"MB", 1e6}, {"GB", 1e9},
-                          {"KiB", kib}, {"MiB", mib}, {"GiB", gib}};
-
-template <std::size_t N>
-const Unit* unit_in(const Unit (&units)[N], std::string_view word) {
-  for (const Unit& unit : units)
-    if (word == unit.word) return &unit;
-  return nullptr;
-}
-
-// With the largest unit in which it is whole.
-std::string in_words(double value, bool time) {
-  const Unit* best = nullptr;
-  const auto look = [&](const auto& units) {
-    for (const Unit& unit : units)
-      if (std::fmod(value, unit.value) == 0 && (!best || unit.value > best->value)) best = &unit;
-  };
-  time ? look(times) : look(sizes);
-  char text[32];
-  std::snprintf(text, sizeof text, "%g%s", value / best->value, best->word);
-  return text;
-}
-
-// How far two words are from each other, in letters changed, added or left out.
-std::size_t distance(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j < row.size(); ++j) row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t corner = row[0];
-    row[0] = i;
-    for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t above = row[j];
-      row[j] = std::min({above + 1, row[j - 1] + 1, corner + (a[i - 1] != b[j - 1])});
-      corner = above;
-    }
-  }
-  return row[b.size()];
-}
-std::string nearest(std::string_view word, const std::vector<std::string>& among) {
-  std::string best;
-  std::size_t least = word.size() / 2 + 1;
-  for (const std::string& one : among)
-    if (const std::size_t d = distance(word, one); d < least) {
-      least = d;
-      best = one;
-    }
-  return best.empty() ? "" : "; did you mean " + best + "?";
-}
-
-struct Checker {
-  const std::string& file;
-  std::vector<std::pair<Place, std::string>> found;
-
-  void wrong(Place at, const std::string& what) { found.emplace_back(at, what); }
-
-  // A figure with its unit, as "500ms" or (ms)500.
-  bool measure(const Key& key, const Value& value, double& into) {
-    const bool time = key.sort == Sort::time;
-    const char* examples = time ? "\"500ms\", \"10s\" or \"5min\"" : "\"64KiB\" or \"16MiB\"";
-    std::string word = value.type;
-    double figure = 0;
-    if (const auto* number = std::get_if<double>(&value.held)) {
-      figure = *number;
-      if (word.empty()) {
-        char text[32];
-        std::snprintf(text, sizeof text, "%g", figure);
-        wrong(value.at, std::string(key.name) + ": a figure without its unit; \"" + text +
-                            (time ? "ms" : "MiB") + "\"? It takes " + examples);
-        return false;
-      }
-    } else if (const auto* text = std::get_if<std::string>(&value.held)) {
-      char* end = nullptr;
-      figure = std::strtod(text->c_str(), &end);
-      if (end == text->c_str()) {
-        wrong(value.at,
-              std::string(key.name) + ": not a " + (time ? "time" : "size") + "; it takes " + examples);
-        return false;
-      }
-      word = end;
-    } else {
-      wrong(value.at,
-            std::string(key.name) + ": not a " + (time ? "time" : "size") + "; it takes " + examples);
-      return false;
-    }
-    const Unit* unit = time ? unit_in(times, word) : unit_in(sizes, word);
-    if (!unit) {
-      const bool other = time ? unit_in(sizes, word) != nullptr : unit_in(times, word) != nullptr;
-      wrong(value.at, std::string(key.name) + ": " +
-                          (word.empty() ? "a figure without its unit"
-                           : other      ? "a unit of " + std::string(time ? "size" : "time") + ", " + word
-                                        : "an unknown unit, " + word) +
-                          "; it takes " + examples);
-      return false;
-    }
-    into = figure * unit->value;
-    if (!(into >= key.least && into <= key.most)) {
-      wrong(value.at, std::string(key.name) + ": out of range; from " + in_words(key.least, time) + " to " +
-                          in_words(key.most, time));
-      return false;
+// One pool: its name, then what it takes and how it stands. `number` counts them.
+void take_pool(Checker& checker, Given& given, const Node& node, std::size_t number,
+               std::set<std::string>& names, double& floors) {
+  const std::string at = "pool." + std::to_string(number) + ".";
+  const auto* name =
+      node.arguments.size() == 1 ? std::get_if<std::string>(&node.arguments.front().held) : nullptr;
+  if (!name || name->empty() || !node.properties.empty())
+    return checker.wrong(node.at, "pool: takes its name, as pool \"bookings\" { }");
+  if (!names.insert(*name).second || *name == "others")
+    return checker.wrong(node.arguments.front().at, "pool: " + *name + " is taken");
+  given[at + "name"] = *name;
+  static const std::vector<std::string> known{"op-types", "tenants", "weight", "floor", "ceiling"};
+  std::set<std::string> seen;
+  double floor = 0, ceiling = 1;
+  Place floor_at = node.at;
+  for (const Node& child : node.children) {
+    if (std::find(known.begin(), known.end(), child.name) == known.end()) {
+      checker.wrong(child.at, child.name + ": unknown in pool" + nearest(child.name, known));
+      continue;
     }
-    return true;
-  }
-
-  // A part of something, as "20%".
-  bool percent(const std::string& name, const Value& value, double least, double most, double& into) {
-    const auto* text = std::get_if<std::string>(&value.held);
-    char* end = nullptr;
-    if (text) into = std::strtod(text->c_str(), &end) / 100;
-    if (!text || end == text->c_str() || std::string_view(end) != "%") {
-      wrong(value.at, name + ": not a part; it takes \"20%\"");
-      return false;
+    if (!seen.insert(child.name).second) {
+      checker.wrong(child.at, child.name + ": twice");
+      continue;
     }
-    if (into >= least && into <= most) return true;
-    char range[64];
-    std::snprintf(range, sizeof range, ": out of range; from %g%% to %g%%", 100 * least, 100 * most);
-    wrong(value.at, name + range);
-    return false;
-  }
-
-  // One pool: its name, then what it takes and how it stands. `number` counts them.
-  void take_pool(Given& given, const Node& node, std::size_t number, std::set<std::string>& names,
-                 double& floors) {
-    const std::string at = "pool." + std::to_string(number) + ".";
-    const auto* name =
-        node.arguments.size() == 1 ? std::get_if<std::string>(&node.arguments.front().held) : nullptr;
-    if (!name || name->empty() || !node.properties.empty())
-      return wrong(node.at, "pool: takes its name, as pool \"bookings\" { }");
-    if (!names.insert(*name).second || *name == "others")
-      return wrong(node.arguments.front().at, "pool: " + *name + " is taken");
-    given[at + "name"] = *name;
-    static const std::vector<std::string> known{"op-types", "tenants", "weight", "floor", "ceiling"};
-    std::set<std::string> seen;
-    double floor = 0, ceiling = 1;
-    Place floor_at = node.at;
-    for (const Node& child : node.children) {
-      if (std::find(known.begin(), known.end(), child.name) == known.end()) {
-        wrong(child.at, child.name + ": unknown in pool" + nearest(child.name, known));
-        continue;
-      }
-      if (!seen.insert(child.name).second) {
-        wrong(child.at, child.name + ": twice");
-        continue;
-      }
-      if (child.name == "op-types" || child.name == "tenants") {
-        std::string all;
-        for (const Value& value : child.arguments) {
-          const auto* one = std::get_if<std::string>(&value.held);
-          if (!one || one->empty())
-            wrong(value.at, child.name + ": not a name");
-          else
-            all += *one + "\n";
-        }
-        if (child.arguments.empty()) wrong(child.at, child.name + ": names none; left out, it means all");
-        given[at + (child.name == "tenants" ? "tenants" : "op_types")] = all;
-        continue;
-      }
-      if (child.arguments.size() != 1 || !child.properties.empty() || !child.children.empty()) {
-        wrong(child.at, child.name + ": takes one value");
-        continue;
-      }
-      const Value& value = child.arguments.front();
-      if (child.name == "weight") {
-        const double* figure = std::get_if<double>(&value.held);
-        if (!figure || !(*figure > 0 && *figure <= 100))
-          wrong(value.at, "weight: not a figure over 0, up to 100");
+    if (child.name == "op-types" || child.name == "tenants") {
+      std::string all;
+      for (const Value& value : child.arguments) {
+        const auto* one = std::get_if<std::string>(&value.held);
+        if (!one || one->empty())
+          checker.wrong(value.at, child.name + ": not a name");
         else
-          given[at + "weight"] = *figure;
-      } else if (child.name == "floor" && percent("floor", value, 0, 1, floor)) {
-        given[at + "floor"] = floor;
-        floor_at = value.at;
-      } else if (child.name == "ceiling" && percent("ceiling", value, 0.01, 1, ceiling)) {
-        given[at + "ceiling"] = ceiling;
+          all += *one + "\n";
       }
+      if (child.arguments.empty())
+        checker.wrong(child.at, child.name + ": names none; left out, it means all");
+      given[at + (child.name == "tenants" ? "tenants" : "op_types")] = all;
+      continue;
     }
-    if (floor > ceiling) wrong(floor_at, "floor: over its ceiling");
-    floors += floor;
-  }
-
-  void take(Given& given, const Key& key, const Value& value) {
-    double figure = 0;
-    switch (key.sort) {
-    case Sort::flag:
-      if (const bool* flag = std::get_if<bool>(&value.held))
-        given[key.ours] = *flag ? 1.0 : 0.0;
-      else
-        wrong(value.at, std::string(key.name) + ": not #true or #false");
-      return;
-    case Sort::time:
-    case Sort::size:
-      if (measure(key, value, figure)) given[key.ours] = std::floor(figure);
-      return;
-    case Sort::part:
-      if (percent(key.name, value, key.least, key.most, figure)) given[key.ours] = figure;
-      return;
-    case Sort::folder:
-    case Sort::word: {
-      const auto* text = std::get_if<std::string>(&value.held);
-      if (!text || text->empty()) return wrong(value.at, std::string(key.name) + ": not a text");
-      if (key.sort == Sort::word &&
-          std::none_of(key.words.begin(), key.words.end(), [&](const char* word) { return *text == word; })) {
-        std::string all;
-        for (const char* word : key.words) all += std::string(all.empty() ? "" : ", ") + word;
-        return wrong(value.at, std::string(key.name) + ": " + *text + " is none of its words: " + all);
-      }
-      given[key.ours] = *text;
-      return;
+    if (child.arguments.size() != 1 || !child.properties.empty() || !child.children.empty()) {
+      checker.wrong(child.at, child.name + ": takes one value");
+      continue;
     }
+    const Value& value = child.arguments.front();
+    if (child.name == "weight") {
+      const double* figure = std::get_if<double>(&value.held);
+      if (!figure || !(*figure > 0 && *figure <= 100))
+        checker.wrong(value.at, "weight: not a figure over 0, up to 100");
+      else
+        given[at + "weight"] = *figure;
+    } else if (child.name == "floor" && checker.percent("floor", value, 0, 1, floor)) {
+      given[at + "floor"] = floor;
+      floor_at = value.at;
+    } else if (child.name == "ceiling" && checker.percent("ceiling", value, 0.01, 1, ceiling)) {
+      given[at + "ceiling"] = ceiling;
     }
   }
-};
-
-Given defaults() {
-  Given given;
-  const std::string file = "defaults"; // `pools.on` stays out: no pools
+  if (floor > ceiling) checker.wrong(floor_at, "floor: over its ceiling");
+  floors += floor;
+}
 
-  Checker checker{file, {}};
+// Of the fleet, or of all else: without its node nothing is said of a fleet.
+void put_defaults(Given& given, bool of_fleet) {
+  Checker checker;
   for (const Key& key : keys()) {
+    if ((std::string_view(key.node) == "fleet") != of_fleet) continue;
+    if (key.sort == Sort::folder || key.sort == Sort::address) {
+      given[key.ours] = std::string(key.otherwise);
+      continue;
+    }
     Value value;
-    const std::string text(key.otherwise);
     if (key.sort == Sort::flag)
-      value.held = text == "true";
-    else if (key.sort == Sort::folder) {
-      given[key.ours] = text;
-      continue;
-    } else
-      value.held = text;
+      value.held = std::string_view(key.otherwise) == "true";
+    else if (key.sort == Sort::count)
+      value.held = std::strtod(key.otherwise, nullptr);
+    else
+      value.held = std::string(key.otherwise);
     checker.take(given, key, value);
   }
   if (!checker.found.empty()) throw std::logic_error("operator defaults: " + checker.found.front().second);
-  return given;
+}
+
+// What goes with what, once each is right by itself.
+void look_at_recording(Checker& checker, const Given& given, const Node& node) {
+  if (number(given, "recording.on", 0) != 0 && text(given, "recording.folder", "").empty())
+    checker.wrong(node.at, "recording: on, and no folder is told");
+  if (number(given, "recording.segment_bytes", 0) * 2 > number(given, "recording.total_bytes", 0))
+    checker.wrong(node.at, "recording: total-size is under two segments of segment-size");
+}
+
+void take_node(Checker& checker, Given& given, const Node& node) {
+  std::vector<Key> own;
+  for (const Key& key : keys())
+    if (node.name == key.node) own.push_back(key);
+  if (node.name == "pools") {
+    std::set<std::string> pools;
+    double floors = 0;
+    given["pools.on"] = 1.0;
+    checker.take_all(given, node, own, "", {"pool"}, [&](const Node& child) {
+      if (child.name == "pool") take_pool(checker, given, child, pools.size(), pools, floors);
+      return child.name == "pool";
+    });
+    if (floors + number(given, "pools.reserve", 0) > 1)
+      checker.wrong(node.at, "pools: the floors and the reserve promise more than there is");
+  } else if (node.name == "fleet") {
+    put_defaults(given, true);
+    take_fleet(checker, given, node, own);
+  } else {
+    checker.take_all(given, node, own, "", {}, [](const Node&) { return false; });
+  }
+  if (node.name == "recording" && checker.found.empty()) look_at_recording(checker, given, node);
 }
 
 } // namespace
@@ -307,8 +176,9 @@
 }
 
 Given operator_of(const std::vector<Node>& nodes, const std::string& file) {
-  Given given = defaults();
-  Checker checker{file, {}};
+  Given given;
+  put_defaults(given, false);
+  Checker checker;
   std::map<std::string, Place> nodes_seen;
   for (const Node& node : nodes) {
     std::vector<std::string> known;
@@ -326,46 +196,7 @@
       checker.wrong(node.arguments.front().at, node.name + ": takes no value of its own, only children");
     for (const auto& [name, value] : node.properties)
       checker.wrong(value.at, node.name + ": takes children, not properties; " + name + " stands in braces");
-    std::map<std::string, Place> seen;
-    std::set<std::string> pools;
-    double floors = 0;
-    if (node.name == "pools") given["pools.on"] = 1.0;
-    for (const Node& child : node.children) {
-      if (node.name == "pools" && child.name == "pool") {
-        checker.take_pool(given, child, pools.size(), pools, floors);
-        continue;
-      }
-      std::vector<std::string> names;
-      const Key* found = nullptr;
-      for (const Key& key : keys())
-        if (node.name == key.node) {
-          names.emplace_back(key.name);
-          if (child.name == key.name) found = &key;
-        }
-      if (node.name == "pools") names.emplace_back("pool");
-      if (!found) {
-        checker.wrong(child.at, child.name + ": unknown in " + node.name + nearest(child.name, names));
-        continue;
-      }
-      if (const auto [at, fresh] = seen.emplace(child.name, child.at); !fresh) {
-        checker.wrong(child.at, child.name + ": twice; first at line " + std::to_string(at->second.line));
-        continue;
-      }
-      if (child.arguments.size() != 1 || !child.properties.empty() || !child.children.empty()) {
-        checker.wrong(child.at, child.name + ": takes one value");
-        continue;
-      }
-      checker.take(given, *found, child.arguments.front());
-    }
-    if (node.name == "pools" && floors + number(given, "pools.reserve", 0) > 1)
-      checker.wrong(node.at, "pools: the floors and the reserve promise more than there is");
-    // What goes with what; only where each is right by itself.
-    if (node.name == "recording" && checker.found.empty()) {
-      if (number(given, "recording.on", 0) != 0 && text(given, "recording.folder", "").empty())
-        checker.wrong(node.at, "recording: on, and no folder is told");
-      if (number(given, "recording.segment_bytes", 0) * 2 > number(given, "recording.total_bytes", 0))
-        checker.wrong(node.at, "recording: total-size is under two segments of segment-size");
-    }
+    take_node(checker, given, node);
   }
   if (checker.found.empty()) return given;
   std::string all;
--- /dev/null
+++ b/peers/links.hpp
@@ -0,0 +1,92 @@
+// The sockets between the servers of a fleet: a listener for those that others dial, and at most one
+// connection out to each member. Owns them and every byte not yet read or written; decides nothing
+// (peers.hpp does). What names another fleet, another member or nobody, or speaks no letters, is closed.
+//
+// Bounds: connections in, two for each member and some, of which the one that was silent longest makes room;
+// of each at most one letter is kept; in one turn one read of each. Errors: the constructor throws
+// std::invalid_argument where the address can't be listened on.
+#pragma once
+
+#include "words.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cometshift {
+
+class Links {
+ public:
+  class Taker {
+   public:
+    virtual ~Taker() = default;
+    virtual void connected(MemberId to) = 0;
+    virtual void written(MemberId to) = 0;
+    virtual void broken(MemberId to) = 0;
+    // The payload of a letter's frame; the view holds until the call returns. False: it is none, and its
+    // connection ends.
+    virtual bool letter(const words::Speaker& speaker, std::string_view payload) = 0;
+    virtual void remark(std::string_view words) = 0; // for the log
+  };
+  using Tcp = asio::ip::tcp;
+
+  Links(asio::io_context& io, Tcp::endpoint listen, words::Speaker self,
+        std::map<MemberId, Tcp::endpoint> others, Taker& taker);
+  ~Links();
+
+  void dial(MemberId to);
+  void hang_up(MemberId to);
+  void send(MemberId to, std::string frame);
+  void close(); // everything, for good
+
+  std::size_t incoming() const { return incoming_.size(); }
+
+ private:
+  struct Outgoing {
+    explicit Outgoing(asio::io_context& io) : socket(io) {}
+    Tcp::socket socket;
+    std::string frame;
+    char ignored[64]; // nothing comes on it but its end
+  };
+  struct Incoming {
+    explicit Incoming(Tcp::socket s, asio::io_context& io) : socket(std::move(s)), timer(io) {}
+    Tcp::socket socket;
+    asio::steady_timer timer; // for its first word
+    std::string in;
+    words::Speaker speaker;
+    bool known = false;      // it has said who it is
+    std::uint64_t heard = 0; // by order: the one that was heard last has the greatest
+    char some[16 * 1024];
+  };
+  using Held = std::shared_ptr<Outgoing>;
+
+  void accept();
+  void accept_all();
+  void read(const std::shared_ptr<Incoming>& one);
+  void end(const std::shared_ptr<Incoming>& one, const char* why);
+  void make_room();
+  void replace(const Incoming& by);
+  bool parse(Incoming& one, const char*& why);
+  void await_end(MemberId to, const Held& held);
+  void lost(MemberId to, const Held& held);
+  bool current(MemberId to, const Held& held) const;
+
+  asio::io_context& io_;
+  Tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
+  words::Speaker self_;
+  std::map<MemberId, Tcp::endpoint> others_;
+  Taker& taker_;
+  std::map<MemberId, Held> outgoing_;
+  std::map<std::uint64_t, std::shared_ptr<Incoming>> incoming_;
+  std::map<const Incoming*, std::uint64_t> numbers_;
+  std::uint64_t next_ = 1, heards_ = 0;
+  bool closed_ = false;
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/peers/words.hpp
@@ -0,0 +1,57 @@
+// The words that servers of a fleet say to each other, as bytes and back, no I/O (words.proto). A frame is as
+// on the balancers' side (node/frames.hpp), in a range of types of its own; its payload begins with eight
+// bytes, XXH3 of the rest keyed by who says it to whom in which incarnation: a byte that was spoilt on the
+// way, or a frame of another connection, is not taken for a word. That is no protection against forgers: it
+// is for closed networks.
+#pragma once
+
+#include "leases.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace cometshift::words {
+
+constexpr std::uint32_t layout = 1;
+constexpr std::size_t most_letter = 64 * 1024; // bytes of a frame; what is larger is no letter
+constexpr std::size_t most_word = 256;         // bytes, the longest name included
+
+// Who speaks on a connection, told first.
+struct Speaker {
+  std::string fleet;
+  MemberId from, to;
+  Incarnation incarnation;
+};
+
+// Whole frames.
+std::string hello(const Speaker& speaker);
+std::string letter(const Speaker& speaker, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
+                   bool leaving, std::string_view said);
+// Parts of a letter, to be put behind each other.
+std::string ask(std::string_view lease, AskNo number, Token token, Nanos term);
+std::string release(std::string_view lease, AskNo number);
+std::string grant(Incarnation to, std::string_view lease, AskNo number, bool wanted);
+std::string refuse(Incarnation to, std::string_view lease, AskNo number, Token seen, Nanos left);
+std::string done(std::string_view task, Token token, Nanos ago);
+
+// What a letter says, in the order of the kinds. The views hold until the call returns.
+class Listener {
+ public:
+  virtual ~Listener() = default;
+  // First. False: nothing in it is to be taken.
+  virtual bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
+                      Incarnation heard_of, bool leaving) = 0;
+  virtual void asked(MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
+                     Nanos term) = 0;
+  virtual void released(MemberId from, Incarnation of, std::string_view lease, AskNo number) = 0;
+  virtual void granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) = 0;
+  virtual void refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
+                       Nanos left) = 0;
+  virtual void done(MemberId from, std::string_view task, Token token, Nanos ago) = 0;
+};
+
+// Payloads of frames. False: they can't be read, or not by this build.
+bool read_hello(std::string_view payload, Speaker& into);
+bool read_letter(std::string_view payload, const Speaker& speaker, Listener& listener);
+
+} // namespace cometshift::words
--- /dev/null
+++ b/tests/company.hpp
@@ -0,0 +1,71 @@
+// What tests of peers/ print: the orders of one Peers, and the words of letters.
+#pragma once
+
+#include "peers.hpp"
+
+#include <cstdio>
+
+using namespace cometshift;
+
+struct SaidWords final : words::Listener {
+  int taken = 0;
+  bool quiet = false;
+  std::uint64_t number = 0;
+  bool letter(MemberId from, Incarnation, std::uint64_t n, std::uint64_t heard, Incarnation,
+              bool leaving) override {
+    ++taken, number = n;
+    if (!quiet)
+      std::printf("    letter %llu of member %u, heard %llu%s\n", static_cast<unsigned long long>(n),
+                  from.raw, static_cast<unsigned long long>(heard), leaving ? ", leaving" : "");
+    return true;
+  }
+  void word(const char* what, std::string_view lease, std::uint64_t figure, const char* more = "") {
+    if (!quiet)
+      std::printf("    %s %.*s %llu%s\n", what, static_cast<int>(lease.size()), lease.data(),
+                  static_cast<unsigned long long>(figure), more);
+  }
+  void asked(MemberId, Incarnation, std::string_view lease, AskNo n, Token, Nanos) override {
+    word("ask", lease, n.raw);
+  }
+  void released(MemberId, Incarnation, std::string_view lease, AskNo n) override {
+    word("release", lease, n.raw);
+  }
+  void granted(MemberId, Incarnation, std::string_view lease, AskNo n, bool wanted) override {
+    word("grant", lease, n.raw, wanted ? ", wanted" : "");
+  }
+  void refused(MemberId, Incarnation, std::string_view lease, AskNo n, Token, Nanos) override {
+    word("refuse", lease, n.raw);
+  }
+  void done(MemberId, std::string_view task, Token token, Nanos) override { word("done", task, token.raw); }
+};
+
+inline words::Speaker speaker_of(std::uint32_t from, std::uint32_t to, std::uint64_t incarnation = 7) {
+  return {"rig", MemberId{from}, MemberId{to}, Incarnation{incarnation}};
+}
+
+// Prints what is ordered; of letters, the words if asked to.
+struct PrintedPeers final : PeerOrders {
+  std::uint32_t self = 1;
+  Nanos now = 0;
+  bool quiet = false, words_too = true;
+  int letters = 0, dials = 0, hang_ups = 0;
+  void line(const char* what, MemberId of) const {
+    if (!quiet) std::printf("  %6lld %s %u\n", static_cast<long long>(now / 1'000'000), what, of.raw);
+  }
+  void dial(MemberId to) override { ++dials, line("dial", to); }
+  void hang_up(MemberId to) override { ++hang_ups, line("hang up", to); }
+  void send(MemberId to, std::string frame) override {
+    ++letters;
+    line("send to", to);
+    SaidWords said;
+    said.quiet = quiet || !words_too;
+    if (!words::read_letter(std::string_view(frame).substr(9), speaker_of(self, to.raw), said))
+      std::printf("    can't be read\n");
+  }
+  void news(MemberId of, Hearing before, Hearing after) override {
+    if (!quiet)
+      std::printf("  %6lld member %u: %s, %s before\n", static_cast<long long>(now / 1'000'000), of.raw,
+                  std::string(word_of(after)).c_str(), std::string(word_of(before)).c_str());
+  }
+  void doubled(MemberId number) override { line("two under the number", number); }
+};
--- a/tests/operator.cpp
+++ b/tests/operator.cpp
@@ -40,6 +40,30 @@
        "}\n  pool b {\n    flor "
        "\"40%\"\n    floor \"40%\"\n    weight \"much\"\n    tenants\n  }\n  pool\n  reserve 5\n  poll "
        "c\n}\n");
+  show("a fleet", "fleet {\n  name \"kamati\"\n  self 2\n  listen \"10.0.0.2:6000\"\n  term \"3s\"\n  voters "
+                  "1 2 3\n  member 1 "
+                  "\"10.0.0.1:6000\"\n"
+                  "  member 2 \"10.0.0.2:6000\"\n  member 3 \"[::1]:6000\"\n  task \"sweep\" {\n    every "
+                  "\"1min\"\n    limit "
+                  "\"500ms\"\n    call \"10.0.9.9:80\"\n"
+                  "    fences #true\n    priority 5\n  }\n}\n");
+  show("a fleet with almost everything wrong in it",
+       "fleet {\n  self 0\n  listen \"here\"\n  term \"3\"\n  voters 1 1 x 70000\n  voters 2\n  member 1 "
+       "\"10.0.0.1\"\n  member "
+       "2\n  member 1 \"10.0.0.1:6000\"\n"
+       "  task \"a b\" {\n  }\n  task \"sweep\" {\n    evry \"1s\"\n    priority 1.5\n  }\n  task \"sweep\" "
+       "{\n  }\n  "
+       "most-terms \"many\"\n}\n");
+  show("a fleet whose parts do not go together",
+       "fleet {\n  self 9\n  term \"1s\"\n  longest-term \"500ms\"\n  beat \"1s\"\n  silent \"1s\"\n  "
+       "rest-least \"3s\"\n  voters 1 "
+       "1 4\n  member 1 \"10.0.0.1:6000\"\n"
+       "  member 2 \"10.0.0.1:6000\"\n}\nfleet {\n}\n");
+  show("and again, its addresses mended", "fleet {\n  self 9\n  term \"1s\"\n  longest-term \"500ms\"\n  "
+                                          "beat \"1s\"\n  silent \"1s\"\n  rest-least \"3s\"\n  voters 1 "
+                                          "1 4\n  member 1 \"10.0.0.1:6000\"\n"
+                                          "  member 2 \"10.0.0.2:6000\"\n  task \"late\" {\n    call "
+                                          "\"10.0.9.9:80\"\n    limit \"800ms\"\n  }\n}\n");
   show("unknown names, with what was meant",
        "recroding {\n}\nrecording {\n  folders \"x\"\n  weather \"fine\"\n}\n");
   show("a figure without its unit, with the unit of another kind, with none that there is",
--- /dev/null
+++ b/tests/peers.cpp
@@ -0,0 +1,261 @@
+// Peers: what one member orders, step by step; its words as bytes; and how often silence is wrongly taken for
+// the end of a member, by fixed time-outs and by a rival that learns.
+#include "company.hpp"
+
+#include "pcg.hpp"
+
+#include <cmath>
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+
+Given figures() {
+  return {{"peers.beat", 100e6},
+          {"peers.silent", 300e6},
+          {"peers.rest_least", 50e6},
+          {"peers.rest_most", 400e6},
+          {"peers.most_words", 3.0}};
+}
+const std::vector<MemberId> three{MemberId{1}, MemberId{2}, MemberId{3}};
+void say(const char* what) { std::printf("# %s\n", what); }
+
+struct Scene {
+  PrintedPeers out;
+  Peers peers;
+  Nanos now = 0;
+  explicit Scene(std::vector<MemberId> others = three, std::vector<MemberId> voters = three)
+      : peers(0, speaker_of(1, 0), std::move(others), voters, figures(), 1, out) {}
+  void to(Nanos time) { // with every wake-up on the way
+    for (Nanos next; (next = peers.next_wake()) >= 0 && next <= time * ms;) {
+      now = out.now = std::max(now, next);
+      peers.due(now);
+      peers.flush(now);
+    }
+    now = out.now = time * ms;
+    peers.due(now);
+    peers.flush(now);
+  }
+  void heard(std::uint32_t from, std::uint64_t number, std::uint64_t echo, std::uint64_t of = 70,
+             bool leaving = false) {
+    const bool taken =
+        peers.heard(now, MemberId{from}, Incarnation{of}, number, echo, Incarnation{7}, leaving);
+    if (!taken)
+      std::printf("  %6lld letter %llu of %u is not taken\n", static_cast<long long>(now / ms),
+                  static_cast<unsigned long long>(number), from);
+  }
+};
+
+void steps() {
+  const std::vector<MemberId> two{MemberId{1}, MemberId{2}};
+  {
+    say("dialled at once; the newest word about a matter takes the place of the one before; one letter at a "
+        "time");
+    Scene s(two, two);
+    s.to(0);
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::ask("t", AskNo{1}, Token{5}, ms));
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
+    s.peers.say(MemberId{2}, Peers::Slot::answering, "t", words::grant(Incarnation{70}, "t", AskNo{9}, true));
+    s.peers.connected(10 * ms, MemberId{2});
+    s.to(10);
+    s.peers.say(MemberId{2}, Peers::Slot::telling, "u", words::done("u", Token{6}, 0));
+    s.to(20);
+    s.peers.written(30 * ms, MemberId{2});
+    s.to(30);
+    s.peers.written(30 * ms, MemberId{2});
+    say("a beat where there is nothing to say");
+    s.heard(2, 1, 2);
+    s.to(130);
+    say("no room for a fourth matter; a word too long for one is none");
+    for (const char* matter : {"a", "b", "c", "d"})
+      std::printf("  %s\n", s.peers.say(MemberId{2}, Peers::Slot::asking, matter, "x") ? "taken" : "no room");
+    std::printf("  %s, and to nobody of that number %s\n",
+                s.peers.say(MemberId{2}, Peers::Slot::asking, "a", std::string(1000, 'x')) ? "taken"
+                                                                                           : "not taken",
+                s.peers.say(MemberId{9}, Peers::Slot::asking, "a", "x") ? "taken" : "not taken");
+  }
+  {
+    say("one that takes nothing: hung up after the time of silence, dialled again after rests that grow");
+    Scene s(two, two);
+    s.out.words_too = false;
+    s.to(0);
+    s.peers.connected(0, MemberId{2});
+    for (int tries = 0; tries < 5; ++tries) {
+      const int before = s.out.dials;
+      for (Nanos at = s.now / ms + 10; s.out.dials == before; at += 10) s.to(at);
+      s.peers.connected(s.now, MemberId{2});
+      s.to(s.now / ms);
+    }
+    say("it answers: the next rest is the shortest again");
+    s.heard(2, 1, static_cast<std::uint64_t>(s.out.letters));
+    s.peers.broken(s.now, MemberId{2});
+    s.to(s.now / ms + 80);
+  }
+  {
+    say("silent, and heard again: dialled at once; deaf where it is heard and answers nothing; left where it "
+        "says so");
+    Scene s(two, two);
+    s.out.words_too = false;
+    s.to(0);
+    s.peers.connected(0, MemberId{2});
+    s.heard(2, 1, 0);
+    s.to(299);
+    s.to(300);
+    s.heard(2, 2, 0);
+    s.to(310);
+    s.peers.connected(310 * ms, MemberId{2});
+    s.to(310);
+    s.peers.written(310 * ms, MemberId{2});
+    for (Nanos at = 400; at <= 700; at += 100) {
+      s.to(at);
+      s.heard(2, static_cast<std::uint64_t>(at), 0); // of no letter that this member sent
+      s.peers.written(s.now, MemberId{2});
+    }
+    s.to(700);
+    s.heard(2, 701, 0, 70, true);
+    s.to(1500);
+  }
+  {
+    say("a letter that comes twice, or after a later one; one of another life of the member; two lives by "
+        "turns");
+    Scene s(two, two);
+    s.out.quiet = true;
+    s.to(0);
+    s.out.quiet = false;
+    s.heard(2, 5, 0);
+    s.heard(2, 5, 0);
+    s.heard(2, 4, 0);
+    s.heard(2, 1, 0, 71);
+    s.to(100);
+    s.heard(2, 6, 0, 70); // still under way when it ended
+    s.to(500);
+    s.heard(2, 2, 0, 71);
+    s.heard(2, 7, 0, 70);
+    s.heard(2, 8, 0, 70);
+  }
+  {
+    say("who does not vote dials voters only; a voter dials whom it hears, and forgets who is gone for long");
+    Scene member({MemberId{2}, MemberId{3}}, {MemberId{2}});
+    member.to(0);
+    member.heard(3, 1, 0);
+    member.to(50);
+    Scene voter({MemberId{2}, MemberId{3}}, {MemberId{1}});
+    voter.to(0);
+    voter.heard(3, 1, 0);
+    voter.to(50);
+    voter.peers.connected(50 * ms, MemberId{3});
+    voter.out.words_too = false;
+    voter.out.quiet = true;
+    for (Nanos at = 100; at <= 13'000; at += 100) {
+      voter.to(at);
+      voter.peers.written(voter.now, MemberId{3});
+    }
+    voter.out.quiet = false;
+    std::printf("  after 13 s: %s\n", voter.peers.standing()[1].dials > 1 && voter.peers.next_wake() < 0
+                                          ? "nothing is due"
+                                          : "it still tries");
+  }
+  {
+    say("leaving: it is said once more to all, and nobody is dialled any more");
+    Scene s(two, two);
+    s.to(0);
+    s.peers.connected(0, MemberId{2});
+    s.to(0);
+    s.peers.written(0, MemberId{2});
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{4}));
+    s.peers.leave(10 * ms);
+    std::printf("  all said: %s\n", s.peers.all_said() ? "yes" : "no");
+    s.to(10);
+    s.peers.written(10 * ms, MemberId{2});
+    std::printf("  all said: %s\n", s.peers.all_said() ? "yes" : "no");
+    s.peers.broken(20 * ms, MemberId{2});
+    s.to(1000);
+  }
+}
+
+// As bytes: nothing that was spoilt is taken.
+void bytes() {
+  say("words as bytes: each kind, in one letter");
+  const std::string said =
+      words::ask("lease", AskNo{3}, Token{0x10002}, 5 * ms) + words::release("other", AskNo{4}) +
+      words::grant(Incarnation{9}, "lease", AskNo{5}, true) +
+      words::refuse(Incarnation{9}, "third", AskNo{6}, Token{1}, ms) + words::done("sweep", Token{2}, ms);
+  const words::Speaker speaker = speaker_of(1, 2);
+  const std::string frame = words::letter(speaker, 8, 3, Incarnation{70}, false, said);
+  const std::string payload = frame.substr(9);
+  SaidWords out;
+  std::printf("  %zu bytes, %s\n", frame.size(),
+              words::read_letter(payload, speaker, out) ? "read" : "not read");
+  say("each bit of it turned; cut at each byte; said by another, to another, in another life, in another "
+      "fleet; noise");
+  SaidWords none;
+  none.quiet = true;
+  int bits = 0, cuts = 0, others = 0, noises = 0;
+  for (std::size_t bit = 0; bit < payload.size() * 8; ++bit) {
+    std::string spoilt = payload;
+    spoilt[bit / 8] = static_cast<char>(spoilt[bit / 8] ^ (1 << bit % 8));
+    bits += words::read_letter(spoilt, speaker, none);
+  }
+  for (std::size_t size = 0; size < payload.size(); ++size)
+    cuts += words::read_letter(payload.substr(0, size), speaker, none);
+  others += words::read_letter(payload, speaker_of(3, 2), none) +
+            words::read_letter(payload, speaker_of(1, 3), none) +
+            words::read_letter(payload, speaker_of(1, 2, 8), none) +
+            words::read_letter(payload, {"other", MemberId{1}, MemberId{2}, Incarnation{7}}, none);
+  Pcg chance(1);
+  words::Speaker who;
+  for (int n = 0; n < 20'000; ++n) {
+    std::string noise(chance.next() % 200, '\0');
+    for (char& c : noise) c = static_cast<char>(chance.next());
+    noises += words::read_letter(noise, speaker, none) + words::read_hello(noise, who);
+  }
+  std::printf("  taken: %d of %zu, %d of %zu, %d of 4, %d of 40000\n", bits, payload.size() * 8, cuts,
+              payload.size(), others, noises);
+  const std::string hello = words::hello(speaker).substr(9);
+  const bool greeted = words::read_hello(hello, who);
+  std::printf("  a greeting: %s, member %u of %s to %u\n", greeted ? "read" : "not read", who.from.raw,
+              who.fleet.c_str(), who.to.raw);
+}
+
+// Simulated: a beat every 100 ms over a link whose delays have a tail, and the end of a member at last. How
+// often a living member counts as silent, and how soon a dead one does.
+void detectors() {
+  say("silence taken for the end, in 20 simulated hours of beats (delays: 2 ms and exponential 10 ms, one in "
+      "200 a stall of up to a second)");
+  const double hours = 20;
+  const Nanos beat = 500 * ms;
+  for (const int silent :
+       {2, 3, 4, 8, 0}) { // 0: the rival, which learns mean and spread (phi accrual, phi 8)
+    Pcg chance(7);
+    int alarms = 0;
+    double mean = 500, square = 500 * 500 + 15 * 15;
+    Nanos last = 0, latest = 0;
+    Nanos patience = 0;
+    for (Nanos at = 0; at < static_cast<Nanos>(hours * 3600e9); at += beat) {
+      double delay = 2 - 10 * std::log(1 - chance.unit());
+      if (chance.unit() < 0.005) delay += 1000 * chance.unit();
+      latest = std::max(latest, at + static_cast<Nanos>(delay * 1e6)); // one connection: order is kept
+      const double gap = static_cast<double>(latest - last) / 1e6;
+      const double spread = std::sqrt(std::max(1.0, square - mean * mean));
+      patience = silent > 0 ? silent * beat : static_cast<Nanos>((mean + 5.6 * spread) * 1e6);
+      if (latest - last >= patience) ++alarms;
+      mean += (gap - mean) / 200;
+      square += (gap * gap - square) / 200;
+      last = latest;
+    }
+    if (silent > 0)
+      std::printf("  %2d beats: %.1f an hour; an end is known after at most %lld ms\n", silent,
+                  alarms / hours, static_cast<long long>(patience / ms));
+    else
+      std::printf("  learnt:   %.1f an hour; an end is known after some %lld ms\n", alarms / hours,
+                  static_cast<long long>(patience / ms / 10 * 10));
+  }
+}
+
+} // namespace
+
+int main() {
+  steps();
+  bytes();
+  detectors();
+}
--- /dev/null
+++ b/tests/tasks.cpp
@@ -0,0 +1,256 @@
+// Tasks of the whole fleet, and the time that leases go by: what one member orders, step by step.
+#include "tasks.hpp"
+#include "clocks.hpp"
+
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+using namespace cometshift;
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos second = 1000 * ms;
+void say(const char* what) { std::printf("# %s\n", what); }
+
+// A member that is the one voter: what it asks itself is heard at the end of each step.
+struct Scene final : LeaseOrders, TaskOrders {
+  Nanos now = 0;
+  std::deque<std::function<void()>> own;
+  bool deaf = false; // its asks get lost
+  Leases leases;
+  std::unique_ptr<Tasks> tasks;
+  std::map<std::uint32_t, Token> under_way;
+
+  explicit Scene(const Given& of_tasks)
+      : leases(0, MemberId{1}, Incarnation{7}, {MemberId{1}},
+               {{"leases.term", 1e9},
+                {"leases.longest_term", 1e9},
+                {"leases.drift", 0.01},
+                {"leases.most", 16.0}},
+               1, *this) {
+    tasks = std::make_unique<Tasks>(0, of_tasks, leases, *this);
+  }
+  void ask(MemberId, std::string_view l, AskNo n, Token t, Nanos term) override {
+    if (deaf) return;
+    own.push_back([this, l = std::string(l), n, t, term] {
+      leases.asked(now, MemberId{1}, Incarnation{7}, l, n, t, term);
+    });
+  }
+  void release(MemberId, std::string_view l, AskNo n) override {
+    own.push_back([this, l = std::string(l), n] { leases.released(now, MemberId{1}, Incarnation{7}, l, n); });
+  }
+  void grant(MemberId, Incarnation of, std::string_view l, AskNo n, bool w) override {
+    own.push_back([this, of, l = std::string(l), n, w] { leases.granted(now, MemberId{1}, of, l, n, w); });
+  }
+  void refuse(MemberId, Incarnation of, std::string_view l, AskNo n, Token seen, Nanos left) override {
+    own.push_back([this, of, l = std::string(l), n, seen, left] {
+      leases.refused(now, MemberId{1}, of, l, n, seen, left);
+    });
+  }
+  void held(std::string_view l, Token, Nanos from, Nanos) override { tasks->held(l, from); }
+  void lost(std::string_view l, Token, LostWhy why) override {
+    std::printf("  %6lld %s lost: %s\n", at(), std::string(l).c_str(), std::string(word_of(why)).c_str());
+    tasks->lost(l);
+  }
+  void begin(TaskId t, Token token, Nanos limit) override {
+    under_way[t.raw] = token;
+    std::printf("  %6lld begin %s, within %lld ms\n", at(), tasks->name(t).c_str(),
+                static_cast<long long>(limit / ms));
+  }
+  void tell_done(TaskId t, Token) override {
+    std::printf("  %6lld tell that %s is done\n", at(), tasks->name(t).c_str());
+  }
+  void resting(TaskId t, Nanos rest) override {
+    std::printf("  %6lld %s is let go for %lld ms\n", at(), tasks->name(t).c_str(),
+                static_cast<long long>(rest / ms));
+  }
+  long long at() const { return static_cast<long long>(now / ms); }
+  void step() {
+    leases.due(now);
+    tasks->due(now);
+    while (!own.empty()) {
+      const auto what = std::move(own.front());
+      own.pop_front();
+      what();
+      leases.due(now);
+      tasks->due(now);
+    }
+  }
+  void to(Nanos time) {
+    for (;;) {
+      Nanos next = leases.next_wake();
+      if (const Nanos other = tasks->next_wake(); other >= 0) next = std::min(next, other);
+      if (next < 0 || next > time * ms) break;
+      now = std::max(now, next);
+      step();
+    }
+    now = time * ms;
+    step();
+  }
+  void end(std::uint32_t t, TaskEnd end, Token seen = {}) {
+    const Token token = under_way[t];
+    under_way.erase(t);
+    tasks->ended(now, TaskId{t}, token, end, seen);
+    step();
+  }
+};
+
+Given task(int n, const char* name, Nanos every, Nanos limit, Given more = {}) {
+  const std::string at = "task." + std::to_string(n) + ".";
+  Given given{{at + "name", std::string(name)},
+              {at + "every", static_cast<double>(every * ms)},
+              {at + "limit", static_cast<double>(limit * ms)}};
+  for (const auto& [key, value] : more) given[at + key] = value;
+  return given;
+}
+Given with(Given a, const Given& b) {
+  a.insert(b.begin(), b.end());
+  return a;
+}
+
+void steps() {
+  {
+    say("done once a period by who holds it; not begun while it is under way, or where it would not end in "
+        "time");
+    Scene s(task(0, "sweep", 400, 300));
+    s.to(1100); // a voter that starts is silent for a term
+    s.to(1250);
+    s.end(0, TaskEnd::done);
+    s.to(1600);
+    s.end(0, TaskEnd::done);
+    s.deaf = true; // no renewal from here on
+    s.to(3000);
+  }
+  {
+    say("most important first, so many at once");
+    Given all = with(
+        task(0, "low", 200, 50, {{"priority", 1.0}}),
+        with(task(1, "high", 200, 50, {{"priority", 9.0}}), task(2, "middle", 200, 50, {{"priority", 5.0}})));
+    all["tasks.at_once"] = 2.0;
+    Scene s(all);
+    s.to(1150);
+    s.end(1, TaskEnd::done);
+    s.to(1160);
+    s.end(2, TaskEnd::failed);
+    s.end(0, TaskEnd::done);
+  }
+  {
+    say("three failures in a row: it is let go, each time for longer, so that another may try");
+    Scene s(task(0, "sweep", 100, 50));
+    s.to(1150);
+    for (int n = 0; n < 7; ++n) {
+      s.end(0, n % 2 ? TaskEnd::failed : TaskEnd::unknown);
+      while (!s.under_way.contains(0)) s.to(s.now / ms + 10);
+    }
+    say("the target knows a greater token: let go, and held again under one above it");
+    s.end(0, TaskEnd::refused, Token{0x5000000});
+    while (!s.under_way.contains(0)) s.to(s.now / ms + 10);
+    std::printf("  under %llx\n", static_cast<unsigned long long>(s.under_way[0].raw));
+  }
+  {
+    say("done by another meanwhile: its period counts from then; an earlier holder's word, late, changes "
+        "nothing");
+    Scene s(task(0, "sweep", 400, 100));
+    s.now = 700 * ms;
+    s.tasks->heard_done(s.now, "sweep", Token{9}, 100 * ms);
+    s.tasks->heard_done(s.now, "sweep", Token{8}, 0);
+    s.tasks->heard_done(s.now, "unknown", Token{8}, 0);
+    s.to(1300);
+    std::printf("  next at %lld\n", static_cast<long long>(s.tasks->standing()[0].next / ms));
+  }
+  for (const double catch_up : {0.0, 1.0}) {
+    say(catch_up > 0 ? "missed periods are caught up with" : "missed periods are left out");
+    Scene s(task(0, "sweep", 200, 50, {{"catch_up", catch_up}}));
+    s.to(1105);
+    for (int n = 0; n < 3; ++n) {
+      s.to(s.now / ms + 20);
+      if (s.under_way.contains(0)) s.end(0, TaskEnd::done);
+    }
+    const Tasks::Standing stands = s.tasks->standing()[0];
+    std::printf("  done %llu, left out %llu, next at %lld\n", static_cast<unsigned long long>(stands.done),
+                static_cast<unsigned long long>(stands.missed), static_cast<long long>(stands.next / ms));
+  }
+  {
+    say("sixteen an hour at the most: two at once, then one each 225 s");
+    Scene s(task(0, "sweep", 1000, 50, {{"most_an_hour", 16.0}}));
+    s.to(1050);
+    for (int n = 0; n < 4; ++n) {
+      s.end(0, TaskEnd::done);
+      while (!s.under_way.contains(0)) s.to(s.now / ms + 100);
+    }
+  }
+  {
+    say("leaving while one is under way: its lease is given up when it has ended, and none begins");
+    Scene s(with(task(0, "sweep", 200, 100), task(1, "other", 200, 100)));
+    s.to(1150);
+    s.end(1, TaskEnd::done);
+    s.tasks->leave(s.now);
+    s.leases.leave(s.now);
+    s.to(1200);
+    s.end(0, TaskEnd::done);
+    s.to(2000);
+    std::printf("  still wanted: %zu\n", s.leases.standing().size());
+  }
+  say("senseless settings");
+  for (const Given& bad :
+       {task(0, "a", 100, 200), task(0, "a", 0, 0), task(0, "a", 100, 50, {{"most_an_hour", -1.0}}),
+        with(task(0, "a", 100, 50), {{"tasks.at_once", 0.0}})})
+    try {
+      Scene s(bad);
+      std::printf("  taken\n");
+    } catch (const std::invalid_argument& e) {
+      std::printf("  %s\n", e.what());
+    }
+}
+
+// Who holds has to let go by true time, who granted must not let go before it, whichever one of two clocks is
+// wrong.
+void clocks() {
+  say("two clocks, one of them wrong: over ten seconds, what who holds and who granted count");
+  struct Case {
+    const char* what;
+    std::function<Nanos(Nanos)> wrong;
+  };
+  const Case cases[] = {
+      {"both right", [](Nanos t) { return t; }},
+      {"one jumps an hour on", [](Nanos t) { return t < 5 * second ? t : t + 3600 * second; }},
+      {"one jumps an hour back", [](Nanos t) { return t < 5 * second ? t : t - 3600 * second; }},
+      {"one stands", [](Nanos t) { return std::min(t, 5 * second); }},
+      {"one runs twice as fast", [](Nanos t) { return 2 * t; }},
+      {"one runs half as fast", [](Nanos t) { return t / 2; }},
+      {"one goes back and on again",
+       [](Nanos t) { return t < 4 * second || t > 6 * second ? t : t - second; }},
+  };
+  for (const Case& one : cases)
+    for (const bool first : {true, false}) {
+      CarefulClock clock(100 * second, 100 * second);
+      const Nanos early0 = clock.early(), late0 = clock.late();
+      Nanos apart = 0, before_early = early0, before_late = late0;
+      bool back = false, early_short = false, late_long = false;
+      for (Nanos t = 0; t <= 10 * second; t += 7 * ms) {
+        const Nanos wrong = 100 * second + one.wrong(t), right = 100 * second + t;
+        clock.take(first ? wrong : right, first ? right : wrong);
+        back = back || clock.early() < before_early || clock.late() < before_late;
+        before_early = clock.early(), before_late = clock.late();
+        early_short = early_short || clock.early() - early0 < t;
+        late_long = late_long || clock.late() - late0 > t;
+        apart = std::max(apart, clock.apart());
+      }
+      std::printf("  %s (%s): %lld ms, %lld ms%s%s%s%s\n", one.what, first ? "first" : "second",
+                  static_cast<long long>((clock.early() - early0) / ms),
+                  static_cast<long long>((clock.late() - late0) / ms),
+                  apart > 20 * ms ? ", seen to differ" : "", back ? ", WENT BACK" : "",
+                  early_short ? ", HOLDS TOO LONG" : "", late_long ? ", LETS GO TOO SOON" : "");
+    }
+}
+
+} // namespace
+
+int main() {
+  steps();
+  clocks();
+}
