--- a/fleet/judge.hpp
+++ b/fleet/judge.hpp
@@ -38,6 +38,7 @@
   // Whether each hears each other now, both ways, as far as the rig lets them; a member that is stopped, dead
   // or not yet a voter again hears nobody.
   void reach(Nanos now, const std::vector<std::vector<bool>>& hears);
+  void voters_change() { reach_known_ = false; } // who reaches a majority is not judged any more
   // A member stops for good or a while: how long until another acts is measured.
   void lost(Nanos now, unsigned member);
 
@@ -74,6 +75,7 @@
     Nanos since = 0;
   };
   std::vector<Reached> reached_;
+  bool reach_known_ = true;
   std::vector<Nanos> gaps_;
   Verdict verdict_;
 };
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -34,9 +34,10 @@
 
 void print(const Wanted& wanted, Ending& outcome) {
   const Judge::Verdict& v = outcome.verdict;
-  std::printf("%u servers, %u voters, %.0f s, seed %llu: %zu faults, %llu starts of a server\n",
+  std::printf("%u servers, %u voters, %.0f s, seed %llu: %zu faults, %llu starts of a server, %llu changes "
+              "of the voters\n",
               wanted.members, wanted.voters, wanted.seconds, whole(wanted.seed), outcome.faults,
-              whole(outcome.lives));
+              whole(outcome.lives), whole(outcome.lists));
   std::printf("acts %llu by %llu holdings; refused as stale %llu; at once %llu, tokens that went back %llu, "
               "one token of two "
               "members %llu, without a majority %llu\n",
--- a/fleet/plan.cpp
+++ b/fleet/plan.cpp
@@ -32,7 +32,8 @@
       {"reset", {2, false, 2}},     {"spoil", {2, false, 2}},
       {"act-late", {1, true, 2}},   {"clock-rate", {1, true, 1}},
       {"clock-jump", {1, true, 1}}, {"restart-voters", {0, true, 0.3}},
-      {"twin", {1, true, 0.5}},     {"clock-both", {1, true, 0}},
+      {"twin", {1, true, 0.5}},     {"voters", {1, true, 2}},
+      {"clock-both", {1, true, 0}}, {"stop-in-plain-act", {1, true, 0}},
   };
   return all;
 }
--- a/fleet/plan.hpp
+++ b/fleet/plan.hpp
@@ -16,6 +16,9 @@
 // - clock-rate M F, clock-jump M F: of its clock from then on; F seconds further
 // - clock-both M F: the rate of both clocks that it has; beyond what is assumed, so that the judge is seen to
 // see
+// - voters M F: from now on M and the next ones vote, as many as did; the files come within F seconds. Passed
+// over
+//   while the list before it is not settled
 // - twin M F: a second process under M's number
 #pragma once
 
--- a/fleet/rig.hpp
+++ b/fleet/rig.hpp
@@ -42,6 +42,7 @@
   double cpu_seconds = 0, member_seconds = 0;
   long peak_kb = 0;
   std::uint64_t bytes = 0; // between members
+  std::uint64_t lists = 0; // of voters that came after the first
   std::vector<float> answer_ms;
   std::uint64_t wrong() const {
     return verdict.wrong() + ended_badly + rules_broken + wrong_results + (came_back ? 0 : 1);
@@ -75,6 +76,7 @@
     int awaits_stop = 0; // which order to stop in an act is out
     Nanos stop_for = 0;
     std::vector<std::unique_ptr<Life>> lives;
+    std::string log; // of this life
     Life* life = nullptr;
   };
   using Ways = std::vector<Relay*>;
@@ -93,6 +95,9 @@
   void odd(Seat& seat, double rate, double jump, bool both);
   void look();
   void told_reach();
+  void change_voters(unsigned first, Nanos spread);
+  bool settled() const;
+  void write_operator(const Seat& seat) const;
   std::string operator_text(unsigned member, unsigned listen_port) const;
   Seat& seat(unsigned number);
   Ways ways(const std::function<bool(unsigned, unsigned)>& of) const;
@@ -111,6 +116,7 @@
   std::unique_ptr<standin::RecordsService> records_;
   std::unique_ptr<standin::AnnounceService> announce_;
   Ending outcome_;
+  VoterList voters_; // as the operator has made them last
   bool over_ = false;
 };
 
--- a/leases/leases.cpp
+++ b/leases/leases.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000;
-constexpr std::size_t most_voters = 7;    // more only cost messages: three may be lost of seven
 constexpr std::size_t longest_name = 128; // bytes: names are written by operators
 constexpr double most_drift = 0.1;        // a clock that is worse can't be believed at all
 constexpr double renew_part = 0.4;        // of the time held: two renewals may get lost before it ends
@@ -38,9 +37,9 @@
   return "?";
 }
 
-Leases::Leases(Nanos now, MemberId self, Incarnation incarnation, std::vector<MemberId> voters,
-               const Given& figures, std::uint64_t seed, LeaseOrders& orders)
-    : orders_(orders), self_(self), incarnation_(incarnation), voters_(std::move(voters)), chance_(seed) {
+Leases::Leases(Nanos now, MemberId self, Incarnation incarnation, const Voters& voters, const Given& figures,
+               std::uint64_t seed, LeaseOrders& orders)
+    : orders_(orders), self_(self), incarnation_(incarnation), voters_(voters), chance_(seed) {
   term_ = static_cast<Nanos>(needed(figures, "leases.term", static_cast<double>(ms)));
   longest_term_ = static_cast<Nanos>(needed(figures, "leases.longest_term", static_cast<double>(term_)));
   longest_act_ = span(figures, "leases.longest_act", 0);
@@ -49,18 +48,11 @@
   most_terms_ = static_cast<int>(number(figures, "leases.most_terms", 0));
   most_ = static_cast<std::size_t>(needed(figures, "leases.most", 1));
   first_ = Token{static_cast<std::uint64_t>(number(figures, "leases.first_token", 0)) << member_bits};
-  std::sort(voters_.begin(), voters_.end());
-  voters_.erase(std::unique(voters_.begin(), voters_.end()), voters_.end());
-  if (voters_.empty() || voters_.size() > most_voters)
-    throw std::invalid_argument("setting leases.voters is senseless");
-  is_voter_ = std::binary_search(voters_.begin(), voters_.end(), self_);
   // Against two holders where a voter forgot what it granted: by then the longest of it is over, whatever the
   // drift, as a holder's time is shorter than its voters' by twice the bound.
   silent_until_ = now + longest_term_;
 }
 
-bool Leases::majority(std::size_t of) const { return 2 * of > voters_.size(); }
-
 // A holder's clock may run slow and a voter's fast, each by the bound.
 Nanos Leases::holding_time() const {
   return static_cast<Nanos>(std::floor(static_cast<double>(term_) * (1 - drift_) / (1 + drift_)));
@@ -94,9 +86,9 @@
   return &made;
 }
 
-void Leases::asked(Nanos now, MemberId from, Incarnation of, std::string_view lease, AskNo number,
-                   Token token, Nanos term) {
-  if (!is_voter_) return;
+void Leases::asked(Nanos now, MemberId from, Incarnation of, Epoch epoch, std::string_view lease,
+                   AskNo number, Token token, Nanos term) {
+  if (!voters_.grants(self_)) return;
   // A longer term than is waited out by voters that start, or one that is no time, is none.
   if (!sensible_name(lease) || term < 0 || term > longest_term_ || token.raw == 0 || number.raw == 0)
     return void(++senseless_);
@@ -107,6 +99,8 @@
     return;
   }
   if (!grant) return orders_.refuse(from, of, lease, number, Token{0}, term_); // no room
+  // Against a majority of voters that others need no more (voters.hpp): it is to learn of their list first.
+  if (epoch < voters_.epoch()) return orders_.refuse(from, of, lease, number, Token{0}, term_ / answer_part);
   const bool same = grant->holder == from && grant->of == of;
   // Against an old ask, or one that comes twice, which would begin again what was released or is over.
   if (same && number <= grant->last) return;
@@ -167,11 +161,12 @@
   wish.wanted = false;
   wish.block = 0;
   wish.next = now + term_ / answer_part;
-  for (const MemberId voter : voters_) orders_.ask(voter, lease, wish.number, wish.token, look ? 0 : term_);
+  for (const MemberId voter : voters_.all())
+    orders_.ask(voter, voters_.epoch(), lease, wish.number, wish.token, look ? 0 : term_);
 }
 
 void Leases::give_back(const std::string& lease, const Wish& wish) {
-  for (const MemberId voter : voters_) orders_.release(voter, lease, wish.number);
+  for (const MemberId voter : voters_.all()) orders_.release(voter, lease, wish.number);
 }
 
 void Leases::lose(Nanos now, const std::string& lease, Wish& wish, LostWhy why, Nanos rest) {
@@ -193,12 +188,12 @@
   if (to != incarnation_ || at == wishes_.end()) return;
   Wish& wish = at->second;
   if (number != wish.number) return; // of an ask that is over
-  if (!std::binary_search(voters_.begin(), voters_.end(), from)) return void(++senseless_);
+  if (!voters_.votes(from)) return void(++senseless_);
   // Against a grant that comes when it has ended, and one that carries a holder over its own end.
   if (now >= wish.asked_at + holding_time() || (wish.held && now >= wish.until)) return;
   wish.granted.insert(from);
   wish.wanted = wish.wanted || wanted;
-  if (!majority(wish.granted.size())) return settle_round(now, at->first, wish);
+  if (!voters_.enough(wish.granted)) return settle_round(now, at->first, wish);
   if (wish.looking) return ask(now, at->first, wish, false);
   const Nanos until = wish.asked_at + holding_time();
   if (wish.held && until <= wish.until) return; // another grant of an ask that has carried it on
@@ -223,7 +218,7 @@
   if (to != incarnation_ || at == wishes_.end()) return;
   Wish& wish = at->second;
   wish.floor = std::max(wish.floor, seen);
-  if (number != wish.number || !std::binary_search(voters_.begin(), voters_.end(), from)) return;
+  if (number != wish.number || !voters_.votes(from)) return;
   wish.refused_by.insert(from);
   wish.block = std::max(wish.block, now + std::clamp<Nanos>(left, 0, longest_term_));
   settle_round(now, at->first, wish);
@@ -232,14 +227,14 @@
 // A round that can't be won any more is given up at once, so that another's can be: of those who share the
 // voters the one with the greatest token asks again soon, the others rest.
 void Leases::settle_round(Nanos now, const std::string& lease, Wish& wish) {
-  if (wish.held || majority(voters_.size() - wish.refused_by.size())) return;
+  if (wish.held || !voters_.lost(wish.refused_by)) return;
   const bool blocked = wish.block > now; // else only the token was too small: the next is greater
   const bool first = wish.token > wish.floor;
   give_back(lease, wish);
   wish.number = AskNo{++asks_};
   if (!blocked)
     wish.next = now;
-  else if (majority(wish.refused_by.size()) && wish.block - now > term_ / 2) {
+  else if (voters_.enough(wish.refused_by) && wish.block - now > term_ / 2) {
     wish.next = wish.block + rest(1); // held by another: asked for again when that may be over
     wish.rounds = 0;
   } else
--- a/leases/leases.hpp
+++ b/leases/leases.hpp
@@ -21,6 +21,7 @@
 #include "ids.hpp"
 #include "pcg.hpp"
 #include "state.hpp"
+#include "voters.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,7 +32,6 @@
 
 namespace cometshift {
 
-using MemberId = Id<struct MemberTag, std::uint32_t>;
 using Incarnation = Id<struct IncarnationTag, std::uint64_t>; // of a member: another with each start
 using Token = Id<struct TokenTag, std::uint64_t>; // of a holding: greater than all before it; 0: none
 using AskNo = Id<struct AskNoTag, std::uint64_t>; // of an ask, rising in one incarnation
@@ -44,7 +44,9 @@
   virtual ~LeaseOrders() = default;
   // What is to be said to a voter: grant me this lease, or with a term of 0, would you; I have no use for
   // what you granted up to this ask.
-  virtual void ask(MemberId voter, std::string_view lease, AskNo number, Token token, Nanos term) = 0;
+  // `epoch`: of the list of voters that the asker goes by.
+  virtual void ask(MemberId voter, Epoch epoch, std::string_view lease, AskNo number, Token token,
+                   Nanos term) = 0;
   virtual void release(MemberId voter, std::string_view lease, AskNo number) = 0;
   // What a voter answers. `wanted`: others ask for it too. `seen`: no token up to it will be granted; `left`:
   // of the grant that stands in the way, 0: none does.
@@ -69,8 +71,9 @@
   //   millisecond has made of any before, as Unix time in ms. A hint: where it is none, tokens may go back
   //   after most voters forgot, and a target's refusal puts it right
   // - leases.most: names that are known at once, as a voter and as one who asks, each
-  Leases(Nanos now, MemberId self, Incarnation incarnation, std::vector<MemberId> voters,
-         const Given& figures, std::uint64_t seed, LeaseOrders& orders);
+  // Who votes is asked of `voters` at each step.
+  Leases(Nanos now, MemberId self, Incarnation incarnation, const Voters& voters, const Given& figures,
+         std::uint64_t seed, LeaseOrders& orders);
   Leases(const Leases&) = delete;
   Leases& operator=(const Leases&) = delete;
 
@@ -88,8 +91,8 @@
   void refused_by_target(Nanos now, std::string_view lease, Token seen);
 
   // ---- what others say
-  void asked(Nanos now, MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
-             Nanos term);
+  void asked(Nanos now, MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
+             Token token, Nanos term);
   void released(Nanos now, MemberId from, Incarnation of, std::string_view lease, AskNo number);
   void granted(Nanos now, MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted);
   void refused(Nanos now, MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
@@ -106,7 +109,7 @@
     int rounds = 0; // of asking since it was last held, or since it was wanted
   };
   std::vector<Standing> standing() const;
-  bool silent(Nanos now) const { return is_voter_ && now < silent_until_; }
+  bool silent(Nanos now) const { return voters_.grants(self_) && now < silent_until_; }
   std::uint64_t senseless() const { return senseless_; }
 
  private:
@@ -143,7 +146,6 @@
   void lose(Nanos now, const std::string& lease, Wish& wish, LostWhy why, Nanos rest);
   void settle_round(Nanos now, const std::string& lease, Wish& wish);
   Token next_token(const Wish& wish) const;
-  bool majority(std::size_t of) const;
   Nanos rest(int rounds); // drawn by chance, longer with each round lost
   Nanos holding_time() const;
   Nanos renew_after();
@@ -152,14 +154,13 @@
   LeaseOrders& orders_;
   MemberId self_;
   Incarnation incarnation_;
-  std::vector<MemberId> voters_;
+  const Voters& voters_;
   Pcg chance_;
   Nanos term_, longest_term_, longest_act_;
   double drift_;
   int most_terms_;
   std::size_t most_;
   Token first_; // tokens up to it are not used
-  bool is_voter_;
   Nanos silent_until_;
   std::uint64_t asks_ = 0;
   std::uint64_t senseless_ = 0;
--- a/leases/voters.cpp
+++ b/leases/voters.cpp
@@ -55,8 +55,7 @@
   return {};
 }
 
-void Voters::heard(Nanos now, MemberId from, Epoch in_effect, Epoch on_file) {
-  static_cast<void>(in_effect);
+void Voters::heard(Nanos now, MemberId from, Epoch on_file) {
   if (files_.size() >= most_known && !files_.contains(from)) return;
   Epoch& known = files_[from];
   known = std::max(known, on_file);
--- a/leases/voters.hpp
+++ b/leases/voters.hpp
@@ -40,9 +40,9 @@
 
   // The file was read again. Empty: it is taken; else why not, and nothing has changed.
   std::string_view take(Nanos now, VoterList on_file);
-  // What another member tells: the epoch that it goes by, and the one that it has on file.
-  void heard(Nanos now, MemberId from, Epoch in_effect, Epoch on_file);
-  // It has told its list, which is newer: taken, but not as on file.
+  // What another member tells: the epoch of the list that it has on file, and the list that it goes by, which
+  // is taken if it is newer, but not as on file.
+  void heard(Nanos now, MemberId from, Epoch on_file);
   void learnt(Nanos now, const VoterList& list);
   void passed(Nanos now);  // time goes on: what waits for it is looked at
   Nanos next_wake() const; // -1: nothing waits
@@ -55,6 +55,9 @@
     return all_.contains(member);
   }                                                      // may grant: of either list, while joint
   const std::set<MemberId>& all() const { return all_; } // whom to ask
+  bool grants(MemberId member) const {                   // asked by those who are not as far as this one, too
+    return list_.voters.contains(member) || list_.previous.contains(member);
+  }
   bool enough(const std::set<MemberId>& granted) const;
   bool lost(const std::set<MemberId>& refused) const; // enough can't be had any more
 
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -130,9 +130,11 @@
     tape_.end(now());
     if (number(wanted, "on", 0) != 0) tape_.begin(now(), wanted, files_in(text(wanted, "folder", "")));
   }
-  // A member is what it is from its start: who votes is not changed under it (docs/leases.md).
-  if (core_ && !operators_.empty() && part_of(operators, "fleet.") != part_of(operators_, "fleet."))
-    cometshift::note("reload", "what the operator file says of the fleet is taken at the next start");
+  if (member_) {
+    if (number(operators, "fleet.on", 0) != 0) member_->reload(part_of(operators, "fleet."));
+  } else if (core_ && !operators_.empty() && operators.contains("fleet.on")) {
+    cometshift::note("reload", "a fleet is entered at the next start");
+  }
   operators_ = operators;
 }
 
--- a/node/member.cpp
+++ b/node/member.cpp
@@ -40,21 +40,37 @@
 
 struct Listed {
   std::map<MemberId, Links::Tcp::endpoint> addresses; // of the others
-  std::vector<MemberId> others, voters;
+  std::vector<MemberId> others;
+  VoterList voters;
 };
 Listed listed_in(const Given& fleet) {
   Listed listed;
   const MemberId self{static_cast<std::uint32_t>(number(fleet, "self", 0))};
+  listed.voters.epoch = Epoch{static_cast<std::uint64_t>(number(fleet, "epoch", 1))};
   for (int m = 0; fleet.contains("member." + std::to_string(m) + ".number"); ++m) {
     const std::string at = "member." + std::to_string(m) + ".";
     const MemberId member{static_cast<std::uint32_t>(number(fleet, at + "number", 0))};
-    if (number(fleet, at + "voter", 0) != 0) listed.voters.push_back(member);
+    if (number(fleet, at + "voter", 0) != 0) listed.voters.voters.insert(member);
+    if (number(fleet, at + "previous_voter", 0) != 0) listed.voters.previous.insert(member);
     if (member == self) continue;
     listed.addresses[member] = endpoint_of(text(fleet, at + "address", ""));
     listed.others.push_back(member);
   }
   return listed;
 }
+// All but who votes, which may be changed under a member that serves.
+Given without_voters(Given fleet) {
+  std::erase_if(fleet, [](const auto& entry) {
+    return entry.first == "epoch" || entry.first.ends_with(".voter") ||
+           entry.first.ends_with(".previous_voter");
+  });
+  return fleet;
+}
+// For how long what was granted under a list before may last, by a clock that may be as wrong as is allowed.
+Nanos settle_time(const Given& fleet) {
+  const double drift = number(fleet, "drift", 0);
+  return static_cast<Nanos>(number(fleet, "longest_term_ns", 0) * (1 + drift) / (1 - drift)) + 1;
+}
 // For the modules, by their names.
 Given figures_in(const Given& fleet) {
   Given figures{{"leases.term", number(fleet, "term_ns", 0)},
@@ -100,16 +116,16 @@
       clock_(started()), self_{text(fleet, "name", ""),
                                MemberId{static_cast<std::uint32_t>(number(fleet, "self", 0))}, MemberId{},
                                Incarnation{by_chance()}},
-      others_(listed_in(fleet).others), targets_(targets_in(fleet)),
-      leases_(granted_now(), self_.from, self_.incarnation, listed_in(fleet).voters, figures_in(fleet),
-              by_chance(), *this),
+      others_(listed_in(fleet).others), targets_(targets_in(fleet)), fleet_(fleet),
+      on_file_(listed_in(fleet).voters), voters_(granted_now(), self_.from, on_file_, settle_time(fleet)),
+      leases_(granted_now(), self_.from, self_.incarnation, voters_, figures_in(fleet), by_chance(), *this),
       tasks_(now(), figures_in(fleet), leases_, *this),
-      peers_(now(), self_, others_, listed_in(fleet).voters, figures_in(fleet), by_chance(), *this),
+      peers_(now(), self_, others_, voters_, figures_in(fleet), by_chance(), *this),
       links_(io, endpoint_of(text(fleet, "listen", "")), self_, listed_in(fleet).addresses, *this),
       calls_(io, calls_of_tasks) {
   note("fleet", "member %u of %s, incarnation %016llx, %zu others, %zu voters", self_.from.raw,
        self_.fleet.c_str(), static_cast<unsigned long long>(self_.incarnation.raw), others_.size(),
-       listed_in(fleet).voters.size());
+       on_file_.voters.size());
 }
 
 // ---- time
@@ -139,6 +155,7 @@
       own_.pop_front();
       what();
     }
+    look_at_voters();
     const Nanos at = now();
     leases_.due(at);
     tasks_.due(at);
@@ -149,9 +166,54 @@
   arm();
 }
 
+// ---- who votes
+
+void Member::reload(const Given& fleet) {
+  if (fleet == fleet_) return;
+  if (without_voters(fleet) != without_voters(fleet_))
+    note("reload", "what the operator file says of the fleet beside its voters is taken at the next start");
+  fleet_ = fleet;
+  on_file_ = listed_in(fleet).voters;
+  look_at_voters();
+}
+
+// A list on file that can't be taken yet is tried again; what has changed is told to all.
+void Member::look_at_voters() {
+  voters_.passed(granted_now());
+  if (on_file_.epoch > voters_.on_file()) {
+    const std::string_view why = voters_.take(granted_now(), on_file_);
+    if (why.empty()) {
+      note("voters", "epoch %llu is on file and taken, %zu voters%s",
+           static_cast<unsigned long long>(on_file_.epoch.raw), on_file_.voters.size(),
+           voters_.joint() ? ", with those before until they are settled" : "");
+    } else if (why != not_taken_) {
+      note("voters", "epoch %llu is not taken yet: %.*s", static_cast<unsigned long long>(on_file_.epoch.raw),
+           cut(why), why.data());
+    }
+    not_taken_ = why;
+  }
+  if (voters_.list() == told_ && voters_.on_file() == told_on_file_ && voters_.joint() == told_joint_) return;
+  if (told_joint_ && !voters_.joint())
+    note("voters", "epoch %llu is settled: those before it are needed no more",
+         static_cast<unsigned long long>(voters_.epoch().raw));
+  else if (told_.epoch.raw > 0 && voters_.epoch() > told_.epoch && voters_.on_file() < voters_.epoch())
+    note("voters", "epoch %llu was learnt from others; the file has %llu",
+         static_cast<unsigned long long>(voters_.epoch().raw),
+         static_cast<unsigned long long>(voters_.on_file().raw));
+  told_ = voters_.list();
+  told_on_file_ = voters_.on_file();
+  told_joint_ = voters_.joint();
+  for (const MemberId other : others_) peers_.say(other, Peers::Slot::telling, "", voters_word());
+}
+std::string Member::voters_word() const { return words::voters(voters_.on_file(), voters_.list()); }
+void Member::voters(MemberId from, Epoch on_file, const VoterList& list) {
+  voters_.heard(granted_now(), from, on_file);
+  voters_.learnt(granted_now(), list);
+}
+
 void Member::arm() {
   Nanos next = gone() ? -1 : leave_by_; // that the time to leave is over is to be seen too
-  for (const Nanos at : {leases_.next_wake(), tasks_.next_wake(), peers_.next_wake()})
+  for (const Nanos at : {leases_.next_wake(), tasks_.next_wake(), peers_.next_wake(), voters_.next_wake()})
     if (at >= 0 && (next < 0 || at < next)) next = at;
   if (next < 0 || next == armed_) return;
   armed_ = next;
@@ -183,7 +245,10 @@
 
 // ---- the links
 
-void Member::connected(MemberId to) { peers_.connected(now(), to); }
+void Member::connected(MemberId to) {
+  peers_.connected(now(), to);
+  peers_.say(to, Peers::Slot::telling, "", voters_word());
+}
 void Member::written(MemberId to) { peers_.written(now(), to); }
 void Member::broken(MemberId to) { peers_.broken(now(), to); }
 bool Member::letter(const words::Speaker& speaker, std::string_view payload) {
@@ -208,9 +273,9 @@
                     Incarnation heard_of, bool leaving) {
   return peers_.heard(now(), from, of, number, heard, heard_of, leaving);
 }
-void Member::asked(MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
-                   Nanos term) {
-  leases_.asked(granted_now(), from, of, lease, number, token, term);
+void Member::asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
+                   Token token, Nanos term) {
+  leases_.asked(granted_now(), from, of, epoch, lease, number, token, term);
 }
 void Member::released(MemberId from, Incarnation of, std::string_view lease, AskNo number) {
   leases_.released(granted_now(), from, of, lease, number);
@@ -228,11 +293,11 @@
 
 // ---- what the leases order
 
-void Member::ask(MemberId voter, std::string_view lease, AskNo number, Token token, Nanos term) {
+void Member::ask(MemberId voter, Epoch epoch, std::string_view lease, AskNo number, Token token, Nanos term) {
   if (voter != self_.from)
-    return void(peers_.say(voter, Peers::Slot::asking, lease, words::ask(lease, number, token, term)));
-  to_self([this, lease = std::string(lease), number, token, term] {
-    leases_.asked(granted_now(), self_.from, self_.incarnation, lease, number, token, term);
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::ask(epoch, lease, number, token, term)));
+  to_self([this, epoch, lease = std::string(lease), number, token, term] {
+    leases_.asked(granted_now(), self_.from, self_.incarnation, epoch, lease, number, token, term);
   });
 }
 void Member::release(MemberId voter, std::string_view lease, AskNo number) {
@@ -318,6 +383,9 @@
   note("status", "member %u of %s, incarnation %016llx%s", self_.from.raw, self_.fleet.c_str(),
        static_cast<unsigned long long>(self_.incarnation.raw),
        leases_.silent(clock_.late()) ? ", silent as a voter that just started" : "");
+  note("status", "voters of epoch %llu%s, on file %llu", static_cast<unsigned long long>(voters_.epoch().raw),
+       voters_.joint() ? ", with those before it" : ", settled",
+       static_cast<unsigned long long>(voters_.on_file().raw));
   for (const Leases::Standing& lease : leases_.standing()) {
     if (lease.token.raw != 0)
       note("status of leases", "%s: held for %lld ms, %lld ms left, token %llx", lease.lease.c_str(),
--- a/node/member.hpp
+++ b/node/member.hpp
@@ -25,6 +25,8 @@
   // `fleet`: the operator file's part "fleet.", as operator.hpp has it. Throws std::invalid_argument.
   Member(asio::io_context& io, const Given& fleet);
 
+  // What the operator file says now: another list of voters is taken, all else at the next start.
+  void reload(const Given& fleet);
   void turn(); // what is due, and what there is to say; at the end of each turn of the loop
   void leave();
   bool gone();          // nothing is held, and all has been said; or the time for it is over
@@ -46,7 +48,8 @@
   // Words of others
   bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
               bool leaving) override;
-  void asked(MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
+  void voters(MemberId from, Epoch on_file, const VoterList& list) override;
+  void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number, Token token,
              Nanos term) override;
   void released(MemberId from, Incarnation of, std::string_view lease, AskNo number) override;
   void granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) override;
@@ -54,7 +57,8 @@
                Nanos left) override;
   void done(MemberId from, std::string_view task, Token token, Nanos ago) override;
   // Leases
-  void ask(MemberId voter, std::string_view lease, AskNo number, Token token, Nanos term) override;
+  void ask(MemberId voter, Epoch epoch, std::string_view lease, AskNo number, Token token,
+           Nanos term) override;
   void release(MemberId voter, std::string_view lease, AskNo number) override;
   void grant(MemberId to, Incarnation of, std::string_view lease, AskNo number, bool wanted) override;
   void refuse(MemberId to, Incarnation of, std::string_view lease, AskNo number, Token seen,
@@ -69,6 +73,8 @@
   Nanos now();         // of who holds
   Nanos granted_now(); // of who granted
   void arm();
+  void look_at_voters();
+  std::string voters_word() const;
   void to_self(std::function<void()> what);
 
   asio::io_context& io_;
@@ -81,6 +87,12 @@
   std::vector<Links::Tcp::endpoint> targets_; // of the tasks
   std::deque<std::function<void()>> own_; // what this member says to itself, as a voter and as one who asks
   std::map<std::string, Token, std::less<>> holding_; // told in the log already
+  Given fleet_;                                       // as last taken
+  VoterList on_file_, told_;                          // as the file has it; as the others were told it
+  Epoch told_on_file_{};
+  bool told_joint_ = false;
+  std::string_view not_taken_; // why, as told in the log
+  Voters voters_;
   Leases leases_;
   Tasks tasks_;
   Peers peers_;
--- a/operator/fleet_part.cpp
+++ b/operator/fleet_part.cpp
@@ -37,10 +37,13 @@
   Given& given;
   std::map<double, std::string> members; // by number, where they stand in the map
   std::set<std::string> addresses;
-  std::vector<std::pair<double, Place>> voters;
+  struct List {
+    std::vector<std::pair<double, Place>> members;
+    Place at;
+    bool told = false;
+  };
+  List voters, previous;
   std::set<std::string> tasks;
-  Place voters_at;
-  bool voters_told = false;
 
   double number_of(const Value& value, const char* what) {
     const double* figure = std::get_if<double>(&value.held);
@@ -59,7 +62,7 @@
       return checker.wrong(node.arguments.front().at, "member: its number is taken");
     if (members.size() > most_members) return checker.wrong(node.at, "member: too many");
     given[at + "number"] = number;
-    given[at + "voter"] = 0.0;
+    given[at + "voter"] = given[at + "previous_voter"] = 0.0;
     static const Key address{"member", "member", "", Sort::address, 0, 0, ""};
     checker.take(given, address, node.arguments.back(), at + "address");
     // Against two members that a third can't tell from each other.
@@ -68,16 +71,31 @@
       checker.wrong(node.arguments.back().at, "member: its address is another's");
   }
 
-  void take_voters(const Node& node) {
-    if (voters_told)
-      return checker.wrong(node.at, "voters: twice; first at line " + std::to_string(voters_at.line));
-    voters_told = true;
-    voters_at = node.at;
+  void take_list(const Node& node, List& list) {
+    if (list.told)
+      return checker.wrong(node.at, node.name + ": twice; first at line " + std::to_string(list.at.line));
+    list.told = true;
+    list.at = node.at;
     if (node.arguments.empty() || node.arguments.size() > most_voters || !node.properties.empty() ||
         !node.children.empty())
-      return checker.wrong(node.at, "voters: takes one to seven members' numbers, as voters 1 2 3");
+      return checker.wrong(node.at,
+                           node.name + ": takes one to seven members' numbers, as " + node.name + " 1 2 3");
     for (const Value& value : node.arguments)
-      if (const double number = number_of(value, "voters"); number > 0) voters.emplace_back(number, value.at);
+      if (const double number = number_of(value, node.name.c_str()); number > 0)
+        list.members.emplace_back(number, value.at);
+  }
+  void mark(const List& list, const char* name, const char* as) {
+    std::set<double> seen;
+    for (const auto& [voter, at] : list.members) {
+      const auto member = members.find(voter);
+      if (member == members.end())
+        checker.wrong(at, std::string(name) + ": " + std::to_string(static_cast<int>(voter)) +
+                              " is none of the members");
+      else if (!seen.insert(voter).second)
+        checker.wrong(at, std::string(name) + ": " + std::to_string(static_cast<int>(voter)) + " twice");
+      else
+        given[member->second + as] = 1.0;
+    }
   }
 
   void take_task(const Node& node) {
@@ -114,17 +132,11 @@
     if (text(given, "fleet.name", "").empty()) checker.wrong(node.at, "fleet: name is missing");
     if (text(given, "fleet.listen", "").empty()) checker.wrong(node.at, "fleet: listen is missing");
     if (!members.contains(figure("self"))) checker.wrong(node.at, "fleet: self is none of its members");
-    if (voters.empty()) checker.wrong(node.at, "fleet: voters are missing");
-    std::set<double> seen;
-    for (const auto& [voter, at] : voters) {
-      const auto member = members.find(voter);
-      if (member == members.end())
-        checker.wrong(at, "voters: " + std::to_string(static_cast<int>(voter)) + " is none of the members");
-      else if (!seen.insert(voter).second)
-        checker.wrong(at, "voters: " + std::to_string(static_cast<int>(voter)) + " twice");
-      else
-        given[member->second + "voter"] = 1.0;
-    }
+    if (voters.members.empty()) checker.wrong(node.at, "fleet: voters are missing");
+    mark(voters, "voters", "voter");
+    mark(previous, "previous-voters", "previous_voter");
+    if (previous.told && figure("epoch") < 2)
+      checker.wrong(previous.at, "previous-voters: epoch 1 has none before it");
     if (figure("longest_term_ns") < figure("term_ns"))
       checker.wrong(node.at, "fleet: longest-term is under term");
     if (figure("silent_ns") < 2 * figure("beat_ns"))
@@ -146,19 +158,22 @@
 } // namespace
 
 void take_fleet(Checker& checker, Given& given, const Node& node, const std::vector<Key>& own) {
-  Part part{checker, given, {}, {}, {}, {}, {}, false};
+  Part part{checker, given, {}, {}, {}, {}, {}};
   given["fleet.on"] = 1.0;
-  checker.take_all(given, node, own, "", {"member", "voters", "task"}, [&](const Node& child) {
-    if (child.name == "member")
-      part.take_member(child);
-    else if (child.name == "voters")
-      part.take_voters(child);
-    else if (child.name == "task")
-      part.take_task(child);
-    else
-      return false;
-    return true;
-  });
+  checker.take_all(given, node, own, "", {"member", "voters", "previous-voters", "task"},
+                   [&](const Node& child) {
+                     if (child.name == "member")
+                       part.take_member(child);
+                     else if (child.name == "voters")
+                       part.take_list(child, part.voters);
+                     else if (child.name == "previous-voters")
+                       part.take_list(child, part.previous);
+                     else if (child.name == "task")
+                       part.take_task(child);
+                     else
+                       return false;
+                     return true;
+                   });
   // A longer term than was told for the longest is one that members that start wait out.
   const bool longest_told = std::any_of(node.children.begin(), node.children.end(),
                                         [](const Node& c) { return c.name == "longest-term"; });
--- a/operator/fleet_part.hpp
+++ b/operator/fleet_part.hpp
@@ -8,7 +8,8 @@
 
 constexpr double most_member = 65'535; // a token's lowest bits hold a member's number (leases/)
 
-// Into "fleet.", with "fleet.member.N.number", ".address", ".voter" and "fleet.task.N.name", ".call",
+// Into "fleet.", with "fleet.member.N.number", ".address", ".voter", ".previous_voter" and
+// "fleet.task.N.name", ".call",
 // ".every_ns", ".limit_ns", ".fences", ".priority", ".most_an_hour", ".catch_up".
 void take_fleet(Checker& checker, Given& given, const Node& node, const std::vector<Key>& own);
 
--- a/operator/operator.cpp
+++ b/operator/operator.cpp
@@ -43,6 +43,7 @@
        {"throughput", "gradient", "additive"}},
       {"fleet", "name", "fleet.name", Sort::folder, 0, 0, ""},
       {"fleet", "self", "fleet.self", Sort::count, 1, most_member, "1"},
+      {"fleet", "epoch", "fleet.epoch", Sort::count, 1, 1e15, "1"},
       {"fleet", "listen", "fleet.listen", Sort::address, 0, 0, ""},
       {"fleet", "term", "fleet.term_ns", Sort::time, 100 * ms, 600 * second, "5s"},
       {"fleet", "longest-term", "fleet.longest_term_ns", Sort::time, 100 * ms, 600 * second, "5s"},
--- a/peers/peers.cpp
+++ b/peers/peers.cpp
@@ -15,6 +15,7 @@
                                                             // answers to later ones are known
 constexpr Nanos forget_silences = 40; // a voter stops dialling a member that was silent so many times as long
                                       // as `peers.silent`: gone for good, or it will be heard again
+constexpr Nanos lonely_silences = 4;  // without a voter, until all others are asked
 constexpr int most_doublings = 16;
 
 } // namespace
@@ -35,11 +36,10 @@
   return "?";
 }
 
-Peers::Peers(Nanos now, words::Speaker self, std::vector<MemberId> others,
-             const std::vector<MemberId>& voters, const Given& figures, std::uint64_t seed,
-             PeerOrders& orders)
-    : orders_(orders), self_(std::move(self)), chance_(seed), voters_(voters.begin(), voters.end()),
-      now_(now) {
+Peers::Peers(Nanos now, words::Speaker self, std::vector<MemberId> others, const Voters& voters,
+             const Given& figures, std::uint64_t seed, PeerOrders& orders)
+    : orders_(orders), self_(std::move(self)), chance_(seed), voters_(voters), now_(now), begun_(now),
+      heard_voter_at_(now) {
   beat_ = static_cast<Nanos>(needed(figures, "peers.beat", static_cast<double>(ms)));
   silent_ = static_cast<Nanos>(needed(figures, "peers.silent", 2 * static_cast<double>(beat_)));
   rest_least_ = static_cast<Nanos>(needed(figures, "peers.rest_least", static_cast<double>(ms)));
@@ -49,9 +49,14 @@
     if (other != self_.from) fellows_[other].next_beat = fellows_[other].since = now;
 }
 
+// Against a list of voters that are all gone: others may know of a newer one.
+bool Peers::lonely(Nanos now) const {
+  return !voters_.grants(self_.from) && now - heard_voter_at_ >= lonely_silences * silent_;
+}
+
 bool Peers::wanted(Nanos now, MemberId of, const Fellow& fellow) const {
-  if (voters_.contains(of)) return true;
-  return voters_.contains(self_.from) && fellow.heard_at >= 0 && fellow.hearing != Hearing::left &&
+  if (voters_.votes(of) || lonely(now)) return true;
+  return voters_.grants(self_.from) && fellow.heard_at >= 0 && fellow.hearing != Hearing::left &&
          now - fellow.heard_at < forget_silences * silent_;
 }
 
@@ -148,6 +153,7 @@
   known = number;
   if (of != fellow.newest) return true; // its words count, what it says of the link is another's
   fellow.heard_at = now;
+  if (voters_.votes(from)) heard_voter_at_ = now;
   if (echo_of == self_.incarnation && echo <= fellow.number) {
     bool answered = false;
     for (; !fellow.unanswered.empty() && fellow.unanswered.front().first <= echo; answered = true)
@@ -214,7 +220,7 @@
 }
 
 Nanos Peers::next_wake() const {
-  Nanos next = -1;
+  Nanos next = voters_.grants(self_.from) || lonely(now_) ? -1 : heard_voter_at_ + lonely_silences * silent_;
   for (const auto& [member, fellow] : fellows_)
     if (const Nanos at = wake_of(member, fellow); at >= 0 && (next < 0 || at < next)) next = at;
   return next;
--- a/peers/peers.hpp
+++ b/peers/peers.hpp
@@ -57,8 +57,8 @@
   //   over two beats
   // - peers.rest_least, peers.rest_most: between tries to connect, doubled with each that comes to nothing
   // - peers.most_words: that wait for a member
-  // Connections are kept to the voters, and by a voter to all it hears.
-  Peers(Nanos now, words::Speaker self, std::vector<MemberId> others, const std::vector<MemberId>& voters,
+  // Connections are kept to the voters, and by a voter to all it hears; to all where no voter is heard.
+  Peers(Nanos now, words::Speaker self, std::vector<MemberId> others, const Voters& voters,
         const Given& figures, std::uint64_t seed, PeerOrders& orders);
 
   // To be said with the next letter. False: no room, or nobody of that number.
@@ -92,10 +92,10 @@
   enum class Line { none, dialling, up, sending };
   struct Fellow {
     Line line = Line::none;
-    Nanos since = 0; // the line is as it is
-    Nanos again = 0; // no dial before then
+    Nanos since = 0;      // the line is as it is
+    Nanos again = 0;      // no dial before then
     bool unheard = false; // it was found deaf, and has answered nothing since
-    int tries = 0;   // that came to nothing, in a row
+    int tries = 0;        // that came to nothing, in a row
     using Matter = std::pair<Slot, std::string>;
     std::map<Matter, std::string> words;
     Matter said_to{}; // the last that went out: the next letter goes on behind it
@@ -113,6 +113,7 @@
   };
 
   bool wanted(Nanos now, MemberId of, const Fellow& fellow) const;
+  bool lonely(Nanos now) const;
   void judge(Nanos now, MemberId of, Fellow& fellow);
   void end(Nanos now, MemberId of, Fellow& fellow);
   Nanos wake_of(MemberId of, const Fellow& fellow) const;
@@ -122,9 +123,10 @@
   Pcg chance_;
   Nanos beat_, silent_, rest_least_, rest_most_;
   std::size_t most_words_;
-  std::set<MemberId> voters_;
+  const Voters& voters_;
   bool leaving_ = false;
-  Nanos now_;
+  Nanos now_, begun_;
+  Nanos heard_voter_at_; // any
   std::map<MemberId, Fellow> fellows_;
 };
 
--- a/peers/words.cpp
+++ b/peers/words.cpp
@@ -69,13 +69,14 @@
   return framed(frames::peer_letter, key_of(speaker), head.SerializeAsString().append(said));
 }
 
-std::string ask(std::string_view lease, AskNo number, Token token, Nanos term) {
+std::string ask(Epoch epoch, std::string_view lease, AskNo number, Token token, Nanos term) {
   return word([&](wire::Letter& letter) {
     wire::Ask& one = *letter.add_ask();
     one.set_lease(text(lease));
     one.set_number(number.raw);
     one.set_token(token.raw);
     one.set_term(raw_of(term));
+    one.set_epoch(epoch.raw);
   });
 }
 std::string release(std::string_view lease, AskNo number) {
@@ -113,6 +114,16 @@
   });
 }
 
+std::string voters(Epoch on_file, const VoterList& list) {
+  return word([&](wire::Letter& letter) {
+    letter.set_on_file(on_file.raw);
+    wire::Voters& one = *letter.mutable_voters();
+    one.set_epoch(list.epoch.raw);
+    for (const MemberId voter : list.voters) one.add_voter(voter.raw);
+    for (const MemberId voter : list.previous) one.add_previous(voter.raw);
+  });
+}
+
 bool read_hello(std::string_view payload, Speaker& into) {
   std::string_view bytes;
   wire::Hello hello;
@@ -134,8 +145,15 @@
   if (!listener.letter(from, of, letter.number(), letter.heard(), Incarnation{letter.heard_of()},
                        letter.leaving()))
     return true;
+  if (letter.has_voters()) {
+    VoterList list{Epoch{letter.voters().epoch()}, {}, {}};
+    for (const std::uint32_t voter : letter.voters().voter()) list.voters.insert(MemberId{voter});
+    for (const std::uint32_t voter : letter.voters().previous()) list.previous.insert(MemberId{voter});
+    listener.voters(from, Epoch{letter.on_file()}, list);
+  }
   for (const wire::Ask& one : letter.ask())
-    listener.asked(from, of, one.lease(), AskNo{one.number()}, Token{one.token()}, span_of(one.term()));
+    listener.asked(from, of, Epoch{one.epoch()}, one.lease(), AskNo{one.number()}, Token{one.token()},
+                   span_of(one.term()));
   for (const wire::Release& one : letter.release())
     listener.released(from, of, one.lease(), AskNo{one.number()});
   for (const wire::Grant& one : letter.grant())
--- a/peers/words.hpp
+++ b/peers/words.hpp
@@ -28,11 +28,12 @@
 std::string letter(const Speaker& speaker, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
                    bool leaving, std::string_view said);
 // Parts of a letter, to be put behind each other.
-std::string ask(std::string_view lease, AskNo number, Token token, Nanos term);
+std::string ask(Epoch epoch, std::string_view lease, AskNo number, Token token, Nanos term);
 std::string release(std::string_view lease, AskNo number);
 std::string grant(Incarnation to, std::string_view lease, AskNo number, bool wanted);
 std::string refuse(Incarnation to, std::string_view lease, AskNo number, Token seen, Nanos left);
 std::string done(std::string_view task, Token token, Nanos ago);
+std::string voters(Epoch on_file, const VoterList& list);
 
 // What a letter says, in the order of the kinds. The views hold until the call returns.
 class Listener {
@@ -41,8 +42,9 @@
   // First. False: nothing in it is to be taken.
   virtual bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
                       Incarnation heard_of, bool leaving) = 0;
-  virtual void asked(MemberId from, Incarnation of, std::string_view lease, AskNo number, Token token,
-                     Nanos term) = 0;
+  virtual void voters(MemberId from, Epoch on_file, const VoterList& list) = 0; // before all other words
+  virtual void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
+                     Token token, Nanos term) = 0;
   virtual void released(MemberId from, Incarnation of, std::string_view lease, AskNo number) = 0;
   virtual void granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) = 0;
   virtual void refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
