--- a/leases/leases.cpp
+++ b/leases/leases.cpp
@@ -69,8 +69,8 @@
 }
 
 Token Leases::next_token(const Wish& wish) const {
-  return Token{((wish.floor.raw >> member_bits) + 1) << member_bits |
-               (self_.raw & ((1u << member_bits) - 1))};
+  const std::uint64_t over = std::max(wish.floor.raw >> member_bits, counted_);
+  return Token{(over + 1) << member_bits | (self_.raw & ((1u << member_bits) - 1))};
 }
 
 // ---- a voter
@@ -318,6 +318,12 @@
   }
 }
 
+std::vector<Nanos> Leases::grant_ends() const {
+  std::vector<Nanos> ends{silent_until_};
+  for (const auto& [lease, grant] : grants_) ends.push_back(grant.until);
+  return ends;
+}
+
 std::vector<Leases::Standing> Leases::standing() const {
   std::vector<Standing> all;
   for (const auto& [lease, wish] : wishes_)
--- a/leases/leases.hpp
+++ b/leases/leases.hpp
@@ -23,6 +23,7 @@
 #include "state.hpp"
 #include "voters.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -77,6 +78,10 @@
   Leases(const Leases&) = delete;
   Leases& operator=(const Leases&) = delete;
 
+  // Tokens that this member asks for are over this one's, which goes on as `leases.first_token` does: against
+  // voters that have seen none of those before, as where the list of voters was changed.
+  void count(std::uint64_t at_least) { counted_ = std::max(counted_, at_least); }
+
   // ---- what this member wants
   // Asks for a lease until it is dropped. False: no room for another name.
   bool want(Nanos now, std::string_view lease);
@@ -112,6 +117,12 @@
   bool silent(Nanos now) const { return voters_.grants(self_) && now < silent_until_; }
   std::uint64_t senseless() const { return senseless_; }
 
+  // All that it remembers, to bytes and back (keeper.hpp), into one that was made with the same settings.
+  template <class Keeper>
+  void remember(Keeper& keeper);
+  // When something changes by itself: ends of grants by the voter's clock, all else by that of who asks.
+  std::vector<Nanos> grant_ends() const;
+
  private:
   // A voter's: who has a lease of it.
   struct Grant {
@@ -122,6 +133,10 @@
     Token seen{0}; // the greatest that was granted
     Nanos wanted_until = 0;
     bool open(Nanos now) const { return now >= until; }
+    template <class Keeper>
+    void remember(Keeper& keeper) {
+      keeper(holder, of, last, until, seen, wanted_until);
+    }
   };
   // What this member wants.
   struct Wish {
@@ -138,6 +153,11 @@
     Nanos next = 0;  // ask, renew or look again
     Nanos block = 0; // until then a grant is known to stand in the way
     int rounds = 0, terms = 0;
+    template <class Keeper>
+    void remember(Keeper& keeper) {
+      keeper(number, asked_at, token, floor, granted, refused_by, held, wanted, looking, dropped, acts, since,
+             from, until, next, block, rounds, terms);
+    }
   };
   using Wishes = std::map<std::string, Wish, std::less<>>;
 
@@ -161,6 +181,7 @@
   int most_terms_;
   std::size_t most_;
   Token first_; // tokens up to it are not used
+  std::uint64_t counted_ = 0;
   Nanos silent_until_;
   std::uint64_t asks_ = 0;
   std::uint64_t senseless_ = 0;
@@ -168,4 +189,9 @@
   Wishes wishes_;
 };
 
+template <class Keeper>
+void Leases::remember(Keeper& keeper) {
+  keeper(chance_, first_, counted_, silent_until_, asks_, senseless_, grants_, wishes_);
+}
+
 } // namespace cometshift
--- a/node/member.cpp
+++ b/node/member.cpp
@@ -157,6 +157,7 @@
     }
     look_at_voters();
     const Nanos at = now();
+    leases_.count(static_cast<std::uint64_t>(unix_ms()));
     leases_.due(at);
     tasks_.due(at);
     peers_.due(at);
--- a/src/keeper.hpp
+++ b/src/keeper.hpp
@@ -70,10 +70,16 @@
     if (!there) one.reset();
     if (there) (*this)(*one);
   }
-  template <class K, class V>
-  void operator()(std::map<K, V>& all) {
+  template <class K, class V, class Order>
+  void operator()(std::map<K, V, Order>& all) {
     self().table(all);
   }
+  template <class T>
+  void operator()(std::set<T>& all) {
+    std::vector<T> listed(all.begin(), all.end());
+    self().list(listed);
+    all = std::set<T>(listed.begin(), listed.end());
+  }
   template <class A, class B, class... More>
   void operator()(A& a, B& b, More&... more) {
     (*this)(a);
@@ -202,8 +208,8 @@
       into.push_back(std::move(one));
     }
   }
-  template <class K, class V>
-  void table(std::map<K, V>& into) {
+  template <class K, class V, class Order>
+  void table(std::map<K, V, Order>& into) {
     const std::size_t n = count();
     into.clear();
     for (std::size_t i = 0; i < n; ++i) {
--- a/tests/fleet_of_leases.hpp
+++ b/tests/fleet_of_leases.hpp
@@ -26,7 +26,8 @@
   Nanos act = 50 * ms;   // the longest that a member plans for
   Nanos lock_delay = 0;  // leases.longest_act
   int most_terms = 0;
-  bool hints = true; // members know a count that rises over their starts
+  bool counts = false; // and one that goes on
+  bool hints = true;   // members know a count that rises over their starts
   Nanos length = 30 * second;
   double lost = 0.1, doubled = 0.1, late = 0.02; // parts of the messages; late: by up to three terms
   Nanos kill_every = 0;                          // the holder, once so long or up to a half more; 0: never
@@ -334,6 +335,7 @@
       in(one, [this, &one] {
         one.woken_for = -1;
         if (one.file.epoch > one.voters->on_file()) one.voters->take(one.clock(), one.file);
+        if (plan_.counts) one.leases->count(static_cast<std::uint64_t>(now / ms));
         one.leases->due(one.clock());
         wake(one);
       });
--- a/tests/leases.cpp
+++ b/tests/leases.cpp
@@ -65,6 +65,7 @@
   plan.members = 7;
   plan.voters = 3;
   plan.changes = 1.5;
+  plan.counts = true;
   plan.crashes = seed % 2 == 0 ? 1.5 : 0.4;
   plan.lost = 0.05;
   plan.length = 30 * second;
