Rig: a server that left is started again also where a stop in an act was still awaited

Seen: half an hour with 5 servers (1,109 faults, 20,846 acts, 0 at once, rules kept) ended with no holder; with 12 (1,874 faults, 34,578 acts, 0 at once, rules kept) well; gaps up to 48 terms on both; memory of a server at 51 and 88 MB. Looked at: the last log of each member ends with its drain, of members 2, 3 and 5 minutes before the end. Cause: Rig::look took the time for which a server stays down from the variable that an awaited stop in an act also uses, and clears; a server that was told to leave meanwhile was not started again. Memory: the most that a child has had counts its parent's memory from before its start (103 MB of acts and tallies); the kernel's own figure of the program is 7.7 MB. Excluded: the leases themselves, as members that were up and heard a majority did hold.

Change: a variable of its own; memory read from the kernel before a server ends. The half hours are to be run again.

--- a/fleet/rig.cpp
+++ b/fleet/rig.cpp
@@ -6,6 +6,7 @@
 #include <ctime>
 #include <fcntl.h>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <sys/mman.h>
 #include <sys/resource.h>
@@ -196,9 +197,9 @@
 void Rig::ended(Seat& seat, const load::Child::Cost& cost, bool by_us) {
   Life& life = *seat.life;
   seat.up = seat.stopped = false;
+  seat.awaits_stop = 0;
   outcome_.cpu_seconds += cost.cpu_seconds;
   outcome_.member_seconds += static_cast<double>(now() - life.begun) / 1e9;
-  outcome_.peak_kb = std::max(outcome_.peak_kb, cost.peak_kb);
   if (!by_us && !(seat.leaving && cost.exit_code == 0)) {
     ++outcome_.ended_badly;
     outcome_.examples.push_back("member " + std::to_string(seat.number) + " ended with " +
@@ -226,6 +227,7 @@
 void Rig::kill(Seat& seat, Nanos down) {
   if (!seat.up) return;
   judge_.lost(now(), seat.number);
+  look_at_memory(seat);
   seat.child->tell(SIGKILL);
   load::Child::Cost cost;
   while (!seat.child->ended(cost)) usleep(200);
@@ -252,6 +254,15 @@
   told_reach();
 }
 
+// Of the program alone: what a child has had at its most counts this process's own memory from before its
+// start.
+void Rig::look_at_memory(Seat& seat) {
+  std::ifstream in("/proc/" + std::to_string(seat.child->pid()) + "/status");
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with("VmHWM:"))
+      outcome_.peak_kb = std::max(outcome_.peak_kb, std::strtol(line.c_str() + 6, nullptr, 10));
+}
+
 // Each a thousandth of a second: who ended, and who stands still as it was told to in its next act.
 void Rig::look() {
   for (Seat& seat : seats_) {
@@ -259,7 +270,7 @@
     if (seat.up && seat.child->ended(cost)) {
       const bool told = seat.leaving;
       ended(seat, cost, false);
-      if (told && seat.stop_for > 0) after(std::exchange(seat.stop_for, 0), [this, &seat] { begin(seat); });
+      if (told && seat.down_for > 0) after(std::exchange(seat.down_for, 0), [this, &seat] { begin(seat); });
     }
     if (seat.awaits_stop > 0 && seat.up && seat.page->stop_before_act == 0) {
       seat.awaits_stop = 0;
@@ -374,7 +385,7 @@
   else if (what == "drain") {
     if (!one.up || one.stopped || one.leaving) return;
     one.leaving = true;
-    one.stop_for = std::max<Nanos>(length, ms);
+    one.down_for = std::max<Nanos>(length, ms);
     one.life->rules->told_to_leave(load::unix_now());
     one.child->tell(SIGTERM);
   } else if (what == "restart-voters") {
@@ -469,9 +480,10 @@
   for (const auto& [ends, relay] : relays_) outcome_.bytes += relay->bytes();
   for (Seat& seat : seats_) {
     if (!seat.up) continue;
+    look_at_memory(seat);
     if (seat.stopped) go_on(seat);
     seat.leaving = true;
-    seat.stop_for = 0;
+    seat.down_for = 0;
     seat.life->rules->told_to_leave(load::unix_now());
     seat.child->tell(SIGTERM);
   }
--- a/fleet/rig.hpp
+++ b/fleet/rig.hpp
@@ -74,7 +74,8 @@
     std::string page_path;
     bool up = false, stopped = false, leaving = false;
     int awaits_stop = 0; // which order to stop in an act is out
-    Nanos stop_for = 0;
+    Nanos stop_for = 0;  // then
+    Nanos down_for = 0;  // once it has left
     std::vector<std::unique_ptr<Life>> lives;
     std::string log; // of this life
     Life* life = nullptr;
@@ -94,6 +95,7 @@
   void meet(Fault fault);
   void odd(Seat& seat, double rate, double jump, bool both);
   void look();
+  void look_at_memory(Seat& seat);
   void told_reach();
   void change_voters(unsigned first, Nanos spread);
   bool settled() const;
--- a/load/child.hpp
+++ b/load/child.hpp
@@ -22,6 +22,7 @@
   Child& operator=(const Child&) = delete;
   void tell(int signal);
   bool ended(Cost& cost); // without waiting
+  pid_t pid() const { return pid_; } // -1: it has ended
 
  private:
   pid_t pid_ = -1;
