--- a/node/member.cpp
+++ b/node/member.cpp
@@ -141,6 +141,10 @@
   }
   return clock_.early();
 }
+Nanos Member::touched() {
+  touched_ = true;
+  return now();
+}
 Nanos Member::granted_now() {
   now();
   return clock_.late();
@@ -148,7 +152,10 @@
 
 // ---- a turn
 
+// Most turns are of ops and bring nothing here.
 void Member::turn() {
+  if (!touched_) return;
+  touched_ = false;
   for (;;) {
     while (!own_.empty()) {
       const auto what = std::move(own_.front());
@@ -175,6 +182,7 @@
     note("reload", "what the operator file says of the fleet beside its voters is taken at the next start");
   fleet_ = fleet;
   on_file_ = listed_in(fleet).voters;
+  touched();
   look_at_voters();
 }
 
@@ -220,7 +228,7 @@
   armed_ = next;
   timer_.expires_after(std::chrono::nanoseconds(std::max<Nanos>(0, next - now())));
   timer_.async_wait([this](asio::error_code stopped) {
-    if (!stopped) armed_ = -1; // the turn does what is due
+    if (!stopped) armed_ = -1, touched_ = true; // the turn does what is due
   });
 }
 
@@ -229,7 +237,7 @@
 
 void Member::leave() {
   if (leave_by_ >= 0) return;
-  const Nanos at = now();
+  const Nanos at = touched();
   Nanos longest = 0;
   for (const Tasks::Standing& task : tasks_.standing())
     if (task.running) longest = std::max(longest, task.limit);
@@ -247,12 +255,13 @@
 // ---- the links
 
 void Member::connected(MemberId to) {
-  peers_.connected(now(), to);
+  peers_.connected(touched(), to);
   peers_.say(to, Peers::Slot::telling, "", voters_word());
 }
-void Member::written(MemberId to) { peers_.written(now(), to); }
-void Member::broken(MemberId to) { peers_.broken(now(), to); }
+void Member::written(MemberId to) { peers_.written(touched(), to); }
+void Member::broken(MemberId to) { peers_.broken(touched(), to); }
 bool Member::letter(const words::Speaker& speaker, std::string_view payload) {
+  touched();
   return words::read_letter(payload, speaker, *this);
 }
 void Member::remark(std::string_view words) { note("peers", "%.*s", cut(words), words.data()); }
@@ -363,7 +372,7 @@
           note("task", "%s: %.*s, token %llx", tasks_.name(task).c_str(), cut(how), how.data(),
                static_cast<unsigned long long>(token.raw));
         }
-        tasks_.ended(now(), task, token, as, Token{static_cast<std::uint64_t>(seen)});
+        tasks_.ended(touched(), task, token, as, Token{static_cast<std::uint64_t>(seen)});
       },
       // Against a stop since it was begun: what is not held any more is not done.
       [this, task, token] { return leases_.may_act(now(), tasks_.name(task), 0) == token; });
--- a/node/member.hpp
+++ b/node/member.hpp
@@ -72,6 +72,7 @@
 
   Nanos now();         // of who holds
   Nanos granted_now(); // of who granted
+  Nanos touched(); // something came: the turn looks at what follows from it; the time of who holds
   void arm();
   void look_at_voters();
   std::string voters_word() const;
@@ -80,6 +81,7 @@
   asio::io_context& io_;
   asio::steady_timer timer_;
   Nanos armed_ = -1;
+  bool touched_ = true; // since the last turn
   CarefulClock clock_;
   bool said_apart_ = false;
   words::Speaker self_;
