--- a/fleet/referee.cpp
+++ b/fleet/referee.cpp
@@ -47,10 +47,8 @@
   std::uint64_t token = 0;
   unsigned member = 0;
   if (task.empty() || !whole(behind(head, "Fencing-Token: "), token) ||
-      !whole(behind(head, "Member: "), member)) {
-    ++unreadable_;
-    co_return;
-  }
+      !whole(behind(head, "Member: "), member))
+    co_return; // no act that could be judged
   const bool fences = task.starts_with("fenced");
   const std::size_t act = judge_.begins(now_(), task, fences, member, Token{token});
   std::string reply = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
--- a/fleet/referee.hpp
+++ b/fleet/referee.hpp
@@ -15,7 +15,6 @@
  public:
   Referee(asio::io_context& io, asio::ip::tcp::endpoint at, Judge& judge, std::function<Nanos()> now,
           Nanos takes);
-  std::uint64_t unreadable() const { return unreadable_; }
 
  private:
   asio::awaitable<void> serve(asio::ip::tcp::socket socket);
@@ -24,7 +23,6 @@
   Judge& judge_;
   std::function<Nanos()> now_;
   Nanos takes_;
-  std::uint64_t unreadable_ = 0;
   standin::Door door_;
 };
 
--- a/fleet/relay.cpp
+++ b/fleet/relay.cpp
@@ -24,7 +24,6 @@
     : io_(io), to_(to), door_(io, listen, [this](Tcp::socket socket) {
         const auto pair = std::make_shared<Pair>(std::move(socket), io_);
         pairs_.insert(pair);
-        ++made_;
         asio::co_spawn(io_, serve(pair), asio::detached);
       }) {}
 
--- a/fleet/relay.hpp
+++ b/fleet/relay.hpp
@@ -23,7 +23,6 @@
   void reset();                   // all connections, after a few bytes more
   void half_open();               // the far side is closed, the near side hears nothing of it
 
-  std::uint64_t connections() const { return made_; }
   std::uint64_t bytes() const { return bytes_; }
 
  private:
@@ -43,7 +42,7 @@
   Nanos delay_ = 0;
   bool trickle_ = false, spoil_ = false;
   std::set<std::shared_ptr<Pair>> pairs_;
-  std::uint64_t made_ = 0, bytes_ = 0;
+  std::uint64_t bytes_ = 0;
   standin::Door door_;
 };
 
--- a/peers/peers.cpp
+++ b/peers/peers.cpp
@@ -38,7 +38,7 @@
 
 Peers::Peers(Nanos now, words::Speaker self, std::vector<MemberId> others, const Voters& voters,
              const Given& figures, std::uint64_t seed, PeerOrders& orders)
-    : orders_(orders), self_(std::move(self)), chance_(seed), voters_(voters), now_(now), begun_(now),
+    : orders_(orders), self_(std::move(self)), chance_(seed), voters_(voters), now_(now),
       heard_voter_at_(now) {
   beat_ = static_cast<Nanos>(needed(figures, "peers.beat", static_cast<double>(ms)));
   silent_ = static_cast<Nanos>(needed(figures, "peers.silent", 2 * static_cast<double>(beat_)));
--- a/peers/peers.hpp
+++ b/peers/peers.hpp
@@ -125,7 +125,7 @@
   std::size_t most_words_;
   const Voters& voters_;
   bool leaving_ = false;
-  Nanos now_, begun_;
+  Nanos now_;
   Nanos heard_voter_at_; // any
   std::map<MemberId, Fellow> fellows_;
 };
