--- a/load/site.cpp
+++ b/load/site.cpp
@@ -39,15 +39,19 @@
                      "\",\"announce\":\"" + announce + "\",\"records\":\"" + records + "\",\"seed\":\"";
   char more[160];
   std::snprintf(more, sizeof more,
-                "%016llx\",\"stop_ms\":%lld,\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":512},",
-                static_cast<unsigned long long>(site.seed), static_cast<long long>(site.leave_time / ms));
+                "%016llx\",\"stop_ms\":%lld,\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":%d},",
+                static_cast<unsigned long long>(site.seed), static_cast<long long>(site.leave_time / ms),
+                site.sockets);
   text += more;
   text +=
       "\"settings\":{\"fleet_size\":1,\"value_by\":\"request\",\"over_share_worth\":0.05,\"family_info\":{"
       "\"callers\":" +
       std::to_string(site.callers) + ",\"cpus\":" + std::to_string(static_cast<int>(site.cores)) +
-      ",\"mem_limit_kb\":20000,\"run_factor\":4.0,\"key_kb\":2,\"below\":\"common\",\"calls_out\":8,"
-      "\"calls_over_ns\":5000000000,\"stays_for_ns\":200000000,\"calls_by_class\":[true,true],\"cold\":false,"
+      ",\"mem_limit_kb\":20000,\"run_factor\":4.0,\"key_kb\":2,\"below\":\"common\",\"calls_out\":" +
+      std::to_string(site.calls_out) +
+      ",\"calls_over_ns\":5000000000,\"stays_for_ns\":200000000,\"calls_by_class\":[true,true],\"cold\":" +
+      (site.cold ? "true" : "false") +
+      ","
       "\"say\":\"min_rank\",\"heeded_ns\":1000000000,\"idle_ns\":5000000000,\"gauges\":[\"cpu_busy\","
       "\"runnable\","
       "\"mem_used\",\"sockets\"],\"halt\":\"none\",\"passes_deadline\":true},\"categories\":[";
--- a/load/site.hpp
+++ b/load/site.hpp
@@ -16,6 +16,9 @@
   Nanos leave_time = 6'000'000'000; // from the notice to leave to the kill
   std::uint32_t callers = 4;
   double cores = 4; // of the interpreter
+  int sockets = 512;
+  bool cold = false;
+  double calls_out = 8; // this server's share of the calls in hand below
 };
 
 std::vector<Kind> kinds();
--- a/node/announce.cpp
+++ b/node/announce.cpp
@@ -45,6 +45,7 @@
   timer_.async_wait([this, turn](asio::error_code stopped) {
     if (!stopped && turn == turn_) reported(false);
   });
+  reused_ = open_;
   if (open_) return write();
   socket_ = asio::ip::tcp::socket(io_);
   socket_.async_connect(address_, [this, turn](asio::error_code error) {
@@ -59,15 +60,22 @@
 
 void Announce::write() {
   asio::async_write(socket_, asio::buffer(out_), [this, turn = turn_](asio::error_code error, std::size_t) {
-    if (turn == turn_ && error) reported(false);
+    if (turn == turn_ && error) broken();
   });
   read();
 }
 
+// Against waiting for the next report where the service had only left the connection since the last one.
+void Announce::broken() {
+  if (!reused_) return reported(false);
+  cut_off();
+  report();
+}
+
 void Announce::read() {
   socket_.async_read_some(asio::buffer(in_), [this, turn = turn_](asio::error_code error, std::size_t n) {
     if (turn != turn_) return;
-    if (error) return reported(false);
+    if (error) return broken();
     const HttpReply::State state = reply_.feed({in_.data(), n});
     if (state == HttpReply::State::reading) return read();
     reported(state == HttpReply::State::whole && reply_.status() == 204);
--- a/node/announce.hpp
+++ b/node/announce.hpp
@@ -26,6 +26,7 @@
   void cut_off();
   void write();
   void read();
+  void broken();
   void reported(bool well);
   void rest();
 
@@ -44,6 +45,7 @@
   bool told_ = false; // there is something to report
   bool busy_ = false;
   bool open_ = false;
+  bool reused_ = false; // the connection was there before this report
   bool said_down_ = false;
 };
 
--- a/node/front.cpp
+++ b/node/front.cpp
@@ -19,10 +19,12 @@
 constexpr std::size_t most_text = 64;        // of a mark or a subject
 constexpr std::size_t most_used = 64;        // streams remembered above those that are all used
 constexpr std::size_t most_pending =
-    256 * 1024;                         // bytes for a connection: 32 results fit; then its input waits
-constexpr std::size_t gathered = 32;    // pieces in one write
-constexpr std::size_t piece = 4 * 1024; // smaller ones are put together
-constexpr int reads_a_turn = 4;         // of one connection: the others get their turn
+    256 * 1024;                          // bytes for a connection: 32 results fit; then its input waits
+constexpr std::size_t gathered = 32;     // pieces in one write
+constexpr std::size_t piece = 4 * 1024;  // smaller ones are put together
+constexpr int reads_a_turn = 4;          // of one connection: the others get their turn
+constexpr int accepts_a_turn = 64;       // against a flood of connections: those there are get their turn
+constexpr std::size_t endings_part = 24; // of the connections there may be: as many more may be ending
 constexpr const char* overrun = "fields that overrun it";
 constexpr Nanos ms = 1'000'000;
 constexpr std::int64_t latest_time = std::int64_t{1} << 42; // ms: keeps times in whole nanoseconds
@@ -69,18 +71,17 @@
       if (!spare(*at->second) || at->second->heard != (way == Way::idle)) continue;
       tell_no_more(*at->second);
       write(*at->second);
-      if (const auto still = connections_.find(id); still != connections_.end())
-        drop(*still->second, nullptr);
+      if (const auto still = connections_.find(id); still != connections_.end()) end(*still->second);
       return true;
     }
   }
   return false;
 }
 
-// Takes all that wait to be accepted.
-asio::error_code Front::accept_all() {
+// Takes those that wait to be accepted.
+asio::error_code Front::accept_some(int most) {
   asio::error_code error;
-  for (;;) {
+  while (most-- > 0) {
     asio::ip::tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error) break;
@@ -106,11 +107,12 @@
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
     accepting_ = false;
     if (doors_closed_) return;
-    if (!error) error = accept_all();
+    if (!error) error = accept_some(accepts_a_turn);
     if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
       return accept();
     // Against spinning where no descriptor is free: what waits is accepted when one is.
     note("accept", "%s", error.message().c_str());
+    if (!endings_.empty()) endings_.erase(endings_.begin());
     retry_.expires_after(std::chrono::nanoseconds(accept_again_));
     retry_.async_wait([this](asio::error_code stopped) {
       if (!stopped) accept();
@@ -118,6 +120,41 @@
   });
 }
 
+// Ends one on which all is said.
+void Front::end(Connection& c) {
+  if (!c.peer_ended) {
+    asio::error_code error;
+    c.socket.shutdown(asio::socket_base::shutdown_send, error);
+    if (!error) {
+      endings_.try_emplace(next_ending_, std::move(c.socket), now_);
+      linger(next_ending_++);
+      // Against those that end taking the descriptors of those that come.
+      while (connections_.size() + endings_.size() > most_connections_ + most_connections_ / endings_part + 1)
+        endings_.erase(endings_.begin());
+    }
+  }
+  drop(c, nullptr);
+}
+
+// Reads and drops what comes on one that ends, to its peer's end; sweep() sets the bound in time.
+void Front::linger(std::uint64_t number) {
+  const auto at = endings_.find(number);
+  if (at == endings_.end()) return;
+  std::array<char, kept_bytes> dropped;
+  for (int turn = 0; turn < reads_a_turn; ++turn) {
+    asio::error_code error;
+    const std::size_t n = at->second.socket.read_some(asio::buffer(dropped), error);
+    if (error && error != asio::error::would_block) {
+      endings_.erase(at);
+      return;
+    }
+    if (error || n < dropped.size()) break;
+  }
+  at->second.socket.async_wait(asio::socket_base::wait_read, [this, number](asio::error_code stopped) {
+    if (!stopped) linger(number);
+  });
+}
+
 // The one place where a connection is given back.
 void Front::drop(Connection& c, const char* why) {
   if (why) note("connection", "closed: %s", why);
@@ -134,7 +171,7 @@
 }
 
 void Front::sweep() {
-  std::vector<ConnectionId> ended;
+  std::vector<ConnectionId> ended, stuck;
   const Nanos least = std::min(idle_ > 0 ? idle_ : silent_, silent_ > 0 ? silent_ : idle_);
   for (auto& [id, c] : connections_) {
     if (least > 0 && c->open.empty() && now_ - c->last >= least) tell_no_more(*c);
@@ -142,13 +179,18 @@
     if (first_word_ > 0 && c->begun >= 0 && now_ - c->begun >= first_word_ && !c->deaf)
       c->heard || c->filled > 0 ? void(unreadable(*c, "a frame that does not end")) : tell_no_more(*c);
     if (over(*c)) ended.push_back(id);
+    if (unread_ > 0 && c->writing && now_ - c->stuck_since >= unread_) stuck.push_back(id);
   }
+  for (const ConnectionId id : stuck) drop(*connections_.at(id), "it does not read what it is sent");
   for (const ConnectionId id : ended) {
     Connection& c = *connections_.at(id);
     if (!c.peer_ended) readable(c); // against closing over a request that lies unread
     if (const auto at = connections_.find(id); at != connections_.end() && over(*at->second))
-      drop(*at->second, nullptr);
+      end(*at->second);
   }
+  // Against peers that never end.
+  while (!endings_.empty() && now_ - endings_.begin()->second.since >= leave_to_end_)
+    endings_.erase(endings_.begin());
 }
 
 void Front::tell_no_more(Connection& c) {
@@ -160,7 +202,9 @@
 void Front::close_doors() {
   if (doors_closed_) return;
   doors_closed_ = true;
-  accept_all(); // against resetting what was connected, and may have been written to, already
+  // Against resetting what was connected, and may have been written to, already.
+  while (!accept_some(accepts_a_turn)) {
+  }
   asio::error_code ignored;
   acceptor_.close(ignored);
   retry_.cancel();
@@ -271,8 +315,10 @@
 }
 
 bool Front::frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole) {
-  // Against peers that go on for ever after they were told to end.
-  if (c.told_at >= 0 && now_ - c.told_at >= leave_to_end_) return unreadable(c, "goes on after its end");
+  // Against peers that go on for ever after they were told to end. A few frames are read as any: they may
+  // have been on the way.
+  if (c.told_at >= 0 && now_ - c.told_at >= leave_to_end_ && ++c.past_end > most_strikes_)
+    return unreadable(c, "goes on after its end");
   if (type == frames::ask) return ask(c, stream, payload, whole);
   if (type != frames::check) return unreadable(c, "an unknown type");
   std::string_view rest;
@@ -415,6 +461,7 @@
     std::size_t n = c.socket.write_some(std::span(pieces.data(), count), error);
     if (error == asio::error::would_block) {
       c.writing = true;
+      c.stuck_since = now_;
       c.socket.async_wait(asio::socket_base::wait_write, [this, id = c.id](asio::error_code stopped) {
         const auto at = connections_.find(id);
         if (at == connections_.end()) return;
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -49,6 +49,7 @@
   void idle_close(Nanos after) { idle_ = after; }
   void silent_close(Nanos after) { silent_ = after; }
   void first_word(Nanos time) { first_word_ = time; }
+  void unread(Nanos time) { unread_ = time; }
   void when_full(std::vector<Way> order, int strikes) {
     order_ = std::move(order);
     most_strikes_ = strikes;
@@ -58,10 +59,11 @@
   void leave_to_end(Nanos time) { leave_to_end_ = time; }
   void accept_again(Nanos rest) { accept_again_ = rest; }
   void close_doors();
-  bool closed() const { return doors_closed_ && connections_.empty(); }
+  bool closed() const { return doors_closed_ && connections_.empty() && endings_.empty(); }
   void flush(Nanos now); // one gathered write for each connection with something to say
 
   std::size_t connections() const { return connections_.size(); }
+  std::size_t waiting() const { return waiting_; } // bytes for which there is no room at their peers
 
  private:
   struct Connection {
@@ -81,6 +83,8 @@
     Nanos begun = 0;         // waits since then for the rest of a frame, or for its first
     bool heard = false;      // has brought a whole frame
     int strikes = 0;         // in a row
+    int past_end = 0;        // frames read past the time to end
+    Nanos stuck_since = 0;   // while there is no room for what waits
     Nanos told_at = -1;      // that it takes no new op; -1: not told
     bool reading = false;    // a wait for bytes is out
     bool writing = false;    // a wait for room is out
@@ -89,8 +93,17 @@
     bool dirty = false;
   };
 
+  // A connection on which all is said: our side is shut, and what still comes is read and dropped, so that no
+  // reset takes what the peer has yet to read. Nothing of it is taken for an op: that it was never read is
+  // the caller's proof.
+  struct Ending {
+    Ending(asio::ip::tcp::socket s, Nanos n) : socket(std::move(s)), since(n) {}
+    asio::ip::tcp::socket socket;
+    Nanos since;
+  };
+
   void accept();
-  asio::error_code accept_all();
+  asio::error_code accept_some(int most);
   bool make_room();
   bool spare(const Connection& c) const;
   void await_bytes(Connection& c);
@@ -107,6 +120,8 @@
   void tell_no_more(Connection& c);
   void write(Connection& c);
   void drop(Connection& c, const char* why);
+  void end(Connection& c);
+  void linger(std::uint64_t number);
   void sweep();
   bool refuse(Connection& c, StreamId stream, const char* why); // true: reading goes on
   bool over(const Connection& c) const;
@@ -119,6 +134,8 @@
   Names names_;
   Taker& taker_;
   std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
+  std::map<std::uint64_t, Ending> endings_; // in the order in which they began to end
+  std::uint64_t next_ending_ = 1;
   std::vector<ConnectionId> dirty_;
   std::uint64_t next_ = 1;
   std::size_t waiting_ = 0; // bytes to write, in all
@@ -128,6 +145,7 @@
   Nanos silent_ = 0;
   Nanos leave_to_end_ = 0;
   Nanos first_word_ = 0;
+  Nanos unread_ = 0;
   std::vector<Way> order_;
   int most_strikes_ = 0;
   Nanos accept_again_ = 0;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t link_part = 16;   // of the memory, for commands not yet taken
 constexpr std::size_t calls_part = 8;   // of the descriptors, for calls
 constexpr std::size_t own_part = 8;     // of the descriptors, for the listener, the links, files and room
+constexpr std::size_t own_least =
+    24; // of these: standard ones, the loop's, two links, a file, room as much again
+
+constexpr int handlers_a_turn = 128; // some milliseconds at the most, of reads of a connection each
 
 constexpr Nanos most_lead = 5 * ms; // gauges asked for longer before a wake-up would be none of its moment
 
@@ -44,6 +48,13 @@
 std::size_t part_of(const Given& given, const char* name, std::size_t unit, std::size_t divisor) {
   return static_cast<std::size_t>(number(given, name, 0)) * unit / divisor;
 }
+// Balancers' connections: what calls and the server's own leave. Those that end take a few beside them.
+std::size_t most_connections(const Given& given) {
+  const std::size_t calls = part_of(given, "sockets", 1, calls_part);
+  const std::size_t own = std::max(own_least, part_of(given, "sockets", 1, own_part));
+  const auto all = static_cast<std::size_t>(number(given, "sockets", 0));
+  return all - std::min(all - 1, calls + own);
+}
 Given pools_in(const Given& operators) {
   Given pools;
   for (const auto& entry : operators)
@@ -61,7 +72,7 @@
 Host::Host(const Given& given, std::string path, const Given& operators, std::string operator_path)
     : signals_(io_), hang_ups_(io_), questions_(io_), path_(catching(hang_ups_, std::move(path))),
       operator_path_(std::move(operator_path)), timer_(io_), names_(names_in(given)),
-      front_(io_, text(given, "listen", ""), part_of(given, "sockets", own_part - 2, own_part),
+      front_(io_, text(given, "listen", ""), most_connections(given),
              part_of(given, "memory_mb", mb, answers_part), names_, *this),
       interpreter_(io_, text(given, "vm", ""), part_of(given, "memory_mb", mb, link_part), *this),
       records_(io_, text(given, "records", ""), part_of(given, "sockets", 1, calls_part)),
@@ -93,12 +104,17 @@
   while (!over()) {
     clock_.next_turn();
     io_.run_one();
-    io_.poll();
+    take_ready();
     turn();
   }
   tape_.end(now());
 }
 
+// Not all that is ready: against peers that send without end, for which due times would wait.
+void Host::take_ready() {
+  for (int n = 0; n < handlers_a_turn && io_.poll_one() > 0;) ++n;
+}
+
 void Host::await_hang_up() {
   hang_ups_.async_wait([this](asio::error_code error, int) {
     if (error) return;
@@ -151,7 +167,7 @@
 bool Host::poll() {
   clock_.next_turn();
   io_.restart();
-  io_.poll();
+  take_ready();
   turn();
   return !over();
 }
@@ -283,6 +299,8 @@
     return announce_.wait_for_reply(time);
   case Pace::link_again:
     return interpreter_.link_again(time);
+  case Pace::link_silent:
+    return interpreter_.silent_for(time);
   case Pace::link_leave:
     return interpreter_.leave_within(time);
   case Pace::leave_to_end:
@@ -291,6 +309,8 @@
     return front_.silent_close(time);
   case Pace::first_word:
     return front_.first_word(time);
+  case Pace::unread:
+    return front_.unread(time);
   case Pace::accept_again:
     return front_.accept_again(time);
   case Pace::settle_stray:
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -67,6 +67,7 @@
   void not_carried_out(OpId id, std::string_view command) override;
 
   Nanos now();
+  void take_ready();
   void turn();
   void ask_gauges();
   void arm();
--- a/node/interpreter.cpp
+++ b/node/interpreter.cpp
@@ -81,8 +81,8 @@
 
 Interpreter::Interpreter(asio::io_context& io, const std::string& address, std::size_t most_unwritten,
                          Taker& taker)
-    : io_(io), address_(endpoint_of(address)), socket_(io), again_(io), most_unwritten_(most_unwritten),
-      taker_(taker), in_(most_line + simdjson::SIMDJSON_PADDING) {
+    : io_(io), address_(endpoint_of(address)), socket_(io), again_(io), silence_(io),
+      most_unwritten_(most_unwritten), taker_(taker), in_(most_line + simdjson::SIMDJSON_PADDING) {
   asio::post(io_, [this] { connect(); });
 }
 
@@ -96,12 +96,13 @@
 void Interpreter::connect() {
   const std::uint64_t link = ++link_;
   down();
-  open_ = waiting_room_ = leaving_ = false;
+  open_ = waiting_room_ = leaving_ = reading_ = heard_ = banner_ = false;
   filled_ = written_ = 0;
   out_.clear();
   asio::error_code ignored;
   socket_.close(ignored);
   socket_ = asio::ip::tcp::socket(io_);
+  watch();
   socket_.async_connect(address_, [this, link](asio::error_code error) {
     if (link != link_) return;
     if (error) return broken(error.message().c_str());
@@ -116,6 +117,22 @@
   });
 }
 
+// Against a link that is none: a connection that is never made, or one whose other side is gone without a
+// word or never speaks. It is made anew; what runs goes on meanwhile, and all notices come again.
+void Interpreter::watch() {
+  if (silent_for_ <= 0) return;
+  looked_ = asked_;
+  silence_.expires_after(std::chrono::nanoseconds(silent_for_));
+  silence_.async_wait([this, link = link_](asio::error_code stopped) {
+    if (stopped || link != link_) return;
+    if (open_) readable(); // against taking a pause of this process for the other's silence
+    if (link != link_) return;
+    const bool owed = !open_ || !banner_ || answered_ < looked_;
+    if (!std::exchange(heard_, false) && owed) return broken("nothing is heard");
+    watch();
+  });
+}
+
 // What has been sent is not to get lost between two addresses: nothing more goes out on the old link, and an
 // answer to one more question there proves that the rest is read. Where none comes, the link is made all the
 // same, as after a break.
@@ -143,6 +160,7 @@
   const std::uint64_t link = ++link_;
   asio::error_code ignored;
   socket_.close(ignored);
+  silence_.cancel();
   again_.expires_after(std::chrono::nanoseconds(rest_));
   again_.async_wait([this, link](asio::error_code stopped) {
     if (!stopped && link == link_) connect();
@@ -152,8 +170,10 @@
 // ---- notices
 
 void Interpreter::await_bytes() {
+  if (std::exchange(reading_, true)) return;
   socket_.async_wait(asio::socket_base::wait_read, [this, link = link_](asio::error_code error) {
     if (link != link_) return;
+    reading_ = false;
     if (error) return broken(error.message().c_str());
     readable();
   });
@@ -167,6 +187,7 @@
     const std::size_t n = socket_.read_some(asio::buffer(in_.data() + filled_, room), error);
     if (error == asio::error::would_block) break;
     if (error) return broken(error.message().c_str());
+    heard_ = true;
     std::size_t from = 0, look = filled_;
     filled_ += n;
     while (const void* at = std::memchr(in_.data() + look, '\n', filled_ - look)) {
@@ -249,6 +270,7 @@
       taker_.caught_up(heard_before_);
     }
   } else if (action == "BANNER") {
+    banner_ = true;
     said_down_ = false;
     note("interpreter", "up for %lld ms, %.*s", static_cast<long long>(span_ms(o, "wall_ms") / 1'000'000),
          static_cast<int>(std::min<std::size_t>(word(o, "code").size(), 40)), word(o, "code").data());
@@ -303,6 +325,7 @@
 }
 
 void Interpreter::flush() {
+  if (waiting_room_ && out_.size() - written_ > most_unwritten_) return broken("it does not read");
   while (open_ && !waiting_room_ && written_ < out_.size()) {
     asio::error_code error;
     written_ += socket_.write_some(asio::buffer(out_.data() + written_, out_.size() - written_), error);
--- a/node/interpreter.hpp
+++ b/node/interpreter.hpp
@@ -47,10 +47,12 @@
 
   void link_again(Nanos rest) { rest_ = rest; }
   void leave_within(Nanos time) { leave_within_ = time; }
+  void silent_for(Nanos time) { silent_for_ = time; }
   void flush();
 
  private:
   void connect();
+  void watch();
   void down();
   void broken(const char* why);
   void await_bytes();
@@ -66,6 +68,7 @@
   asio::ip::tcp::endpoint address_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer again_;
+  asio::steady_timer silence_;
   std::size_t most_unwritten_; // bytes: a link that takes so little is made anew
   Taker& taker_;
   simdjson::dom::parser parser_;
@@ -78,12 +81,17 @@
   std::uint64_t retried_ = ~std::uint64_t{0}; // a link was made anew for what comes after this notice
   std::uint64_t asked_ = 0;
   std::uint64_t answered_ = 0;
+  std::uint64_t looked_ = 0;       // the last question when it was last looked whether anything is heard
   std::uint64_t heard_before_ = 0; // answered when the link was made
   Nanos rest_ = 0;
   Nanos leave_within_ = 0;
+  Nanos silent_for_ = 0;
   bool open_ = false;
   bool up_ = false;
   bool waiting_room_ = false;
+  bool reading_ = false; // a wait for bytes is out
+  bool heard_ = false;   // something, since it was last looked
+  bool banner_ = false;
   bool said_down_ = false;
   bool leaving_ = false; // for another address, as soon as the last question is answered
 };
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -94,6 +94,8 @@
 constexpr double tokens_per_cap = 3;       // ops out here for each allowed to run, at full openness
 constexpr Nanos report_part = 6;           // of the time that a report counts: two may get lost, with room
 constexpr Nanos link_rest = 20 * ms;       // before the link is made anew: no load, short against a run
+constexpr Nanos silent_least = 2 * second; // of the link: machines stand still for less, and go on
+constexpr Nanos silent_most = 4 * second;  // made anew once, it still leaves a new server ready within ten
 constexpr Nanos leave_rest = 200 * ms;     // for an old link to answer: many round trips, short against a run
 constexpr Nanos end_rest = 500 * ms;       // for callers to close what takes no new op: some round trips
 constexpr Nanos accept_rest = 20 * ms;     // after a failed accept: no spinning, no long wait
@@ -177,6 +179,13 @@
   server_.pace(Pace::report, report);
   server_.pace(Pace::report_wait, report);
   server_.pace(Pace::link_again, link_rest);
+  Nanos longest = 0, latest = 0;
+  for (const OpType& type : types_) {
+    longest = std::max(longest, type.op_timeout);
+    latest = std::max(latest, type.target_latency); // what is started into a dead link for as long is lost
+  }
+  server_.pace(Pace::link_silent, std::clamp(latest, silent_least, silent_most));
+  server_.pace(Pace::unread, longest); // nobody waits for it any more
   server_.pace(Pace::link_leave, leave_rest);
   server_.pace(Pace::leave_to_end, end_rest);
   server_.pace(Pace::silent_close, idle_); // callers close after it themselves
@@ -557,11 +566,10 @@
   return memory_kb_ + kb + key_kb_ * static_cast<double>(keys_.size());
 }
 
-// Keeps the entry to the end of the window, counted from the arrival at the machine. False if memory lacks.
+// Keeps the entry to the end of the window, counted from the arrival at the machine; past it too, against
+// running both where two tries lay unread for longer than a short window. False if memory lacks.
 bool Choice::keep(Nanos now, Op& op) {
-  const OpType& type = types_[op.type.raw];
-  const Nanos life = op.arrived + type.key_window - now;
-  if (life <= 0) return true;
+  const Nanos life = std::max(tick, op.arrived + types_[op.type.raw].key_window - now);
   if (memory_with(key_kb_) > memory_part * memory_limit_) return false;
   keys_.erase(op.earlier);
   keys_[op.id] = now + life;
@@ -1022,16 +1030,18 @@
 }
 
 // The stored health turns bad at once. Ops are served for a shutdown delay that ends by the grace and early
-// enough for a run to end before the kill; all that was read is answered before it.
+// enough for a run to end before the kill; all that was read is answered before it. Where the process stood
+// still the notice may have come at any time of that: against counting from when it was heard.
 void Choice::drain(Nanos now, Nanos until_kill) {
+  const Nanos noticed = now - now_ > stood_still ? now_ : now;
   pass_to(now);
   if (drained_at_ >= 0) return;
   drained_at_ = now;
   server_.health(false, true);
-  answer_by_ = now + until_kill - 2 * tick;
+  answer_by_ = noticed + until_kill - 2 * tick;
   Nanos run = 0;
   for (const OpType& type : types_) run = std::max(run, type.run_time.quantile(planned_sureness));
-  serve_until_ = std::min(now + grace_, answer_by_ - run);
+  serve_until_ = std::min(noticed + grace_, answer_by_ - run);
   for (auto& [id, op] : ops_) op.due = std::min(op.due, answer_by_);
   settle(now);
   tell(now);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -20,10 +20,12 @@
   report,       // between reports to the list of servers
   report_wait,  // for the reply to a report, before it is made anew
   link_again,   // before the link to the machine is made anew
+  link_silent,  // nothing may be heard on the link where something is owed, before it is made anew
   link_leave,   // for the answer that proves a link read before it is left for another address
   leave_to_end, // between telling a caller that its connection takes no new op and closing it
   silent_close, // a caller's connection may be silent, however it was left
   first_word,   // a caller's connection may take for its first frame, or for the rest of one
+  unread,       // a caller may take nothing of what waits for it, before its connection ends
   accept_again, // after a connection could not be accepted
   settle_stray, // from an op's answer to asking how its run stands, if nothing was heard
 };
--- a/standin/party.hpp
+++ b/standin/party.hpp
@@ -129,6 +129,7 @@
   void move_to(Tcp::endpoint at) { door_.open(at); }
 
   std::uint64_t calls() const { return calls_; }
+  int in_hand() const { return in_hand_; }
   Tcp::endpoint address() const { return door_.address(); }
 
  private:
--- a/tests/announce.cpp
+++ b/tests/announce.cpp
@@ -37,6 +37,16 @@
   announce.accepting(true);
   heard(at);
 
+  say("left by the service since the last report: the next, or a change, goes out at once all the same");
+  at.say(ok);
+  at.reset();
+  announce.accepting(false);
+  at = service.next();
+  heard(at);
+  at.say(ok);
+  announce.accepting(true);
+  heard(at);
+
   say("a connection that ends, a reply that is none, or none in time: another is made");
   announce.report_every(ms);
   at.reset();
--- /dev/null
+++ b/tests/crossings.cpp
@@ -0,0 +1,214 @@
+// Two things in one instant, over sockets: each time-out against its twin, signals and what is half read, the
+// link's end and what it brought. Each op has one answer, and nothing runs twice.
+#include "world.hpp"
+
+#include <sys/resource.h>
+#include <thread>
+
+namespace {
+
+const std::string a = "aaaaaaaaaaaaaaa1", b = "aaaaaaaaaaaaaaa2", c = "aaaaaaaaaaaaaaa3";
+const std::string fine = ",\"code\":\"fine\",\"wall_ms\":3,\"content\":\"cmVzdWx0\"";
+void say(const char* what) { std::printf("# %s\n", what); }
+
+std::string notice_of(int pos, const char* action, const std::string& txn, const std::string& more) {
+  return "{\"action\":\"" + std::string(action) + "\",\"pos\":" + std::to_string(pos) + ",\"uid\":\"" + txn +
+         "\"" + more + "}\n";
+}
+void sleep_for(int time_ms) { std::this_thread::sleep_for(std::chrono::milliseconds(time_ms)); }
+
+// Answers to ops in what is heard up to a check sent now: each of them once, in words.
+std::vector<std::string> answers_until_check(World& w, std::uint32_t stream) {
+  std::vector<std::string> answers;
+  w.balancer.say(frame_of(frames::check, stream, {}));
+  for (;;) {
+    std::string frame = w.balancer.frame();
+    if (frame.starts_with("checked")) return answers;
+    if (frame.starts_with("answer")) answers.push_back(std::move(frame));
+  }
+}
+void say_answers(const std::vector<std::string>& answers) {
+  std::printf("  %zu answers\n", answers.size());
+  for (const std::string& one : answers) std::printf("  balancer: %s\n", one.c_str());
+}
+// Another link after a break, up to the moment in which all before is told again.
+void link_again(World& w, const std::string& notices) {
+  w.machine = w.machines.next();
+  std::printf("  link: %s\n", w.machine.line().c_str());
+  w.question.clear();
+  w.link_up(notices);
+}
+
+} // namespace
+
+int main() {
+  say("two tries of one op lie unread for longer than a short window: one run, both have its result");
+  {
+    World w("3000", "300000000");
+    w.link_up();
+    const Fields marked{{"verb", "book"}, {"unique", "m1"}};
+    w.balancer.say(World::request(1, a, marked, "body", 500 * ms) +
+                   World::request(2, b, marked, "body", 250 * ms));
+    std::printf("  link: %s\n", w.command().c_str());
+    w.notice(1, "VALUE", a, fine);
+    say_answers(answers_until_check(w, 1));
+    w.balancer.say(World::request(3, c, marked, "body", 400 * ms)); // within the window as well
+    say_answers(answers_until_check(w, 2));
+  }
+
+  say("a try that comes after the window of the one that ran is another op");
+  {
+    World w("3000", "300000000");
+    w.link_up();
+    w.book(1, a, "m1");
+    w.command();
+    w.notice(1, "VALUE", a, fine);
+    w.balancer.frame();
+    sleep_for(450);
+    w.book(2, b, "m1");
+    std::printf("  link: %s\n", w.command().c_str());
+  }
+
+  say("the end of a run and the end of its link in one instant: one answer, though the notice comes again");
+  {
+    World w("3000");
+    w.link_up();
+    w.book(1, a, "m1");
+    w.command();
+    Peer::turn = [] {};
+    w.notice(1, "VALUE", a, fine);
+    w.machine.stop_sending();
+    w.start();
+    std::printf("  balancer: %s\n", w.balancer.frame().c_str());
+    link_again(w, notice_of(1, "VALUE", a, fine));
+    w.book(2, b, "m1");
+    say_answers(answers_until_check(w, 1));
+  }
+
+  say("the same by a reset, which may take the notice with it");
+  {
+    World w("3000");
+    w.link_up();
+    w.book(1, a, "m1");
+    w.command();
+    Peer::turn = [] {};
+    w.notice(1, "VALUE", a, fine);
+    w.machine.reset();
+    w.start();
+    w.machine = w.machines.next();
+    w.machine.line();
+    w.question.clear();
+    w.link_up(notice_of(1, "VALUE", a, fine));
+    std::printf("  balancer: %s\n", w.balancer.frame().c_str());
+    say_answers(answers_until_check(w, 1));
+  }
+
+  say("the result comes in the instant of the due time: one answer, whichever it is");
+  {
+    World w("3000");
+    w.link_up();
+    w.ask(1, a, {{"limit", "900"}});
+    w.command();
+    Peer::turn = [] {};
+    sleep_for(920); // the due time has passed, and what follows is read in the same turn
+    w.notice(1, "VALUE", a, fine);
+    w.start();
+    const std::size_t first = answers_until_check(w, 1).size();
+    std::printf("  %zu answers in all\n", first + answers_until_check(w, 2).size());
+  }
+
+  say("a call's reply and the end of its op's time in one instant: one answer; the late reply goes nowhere");
+  {
+    World w("3000");
+    w.link_up();
+    w.ask(1, a, {{"verb", "book"}, {"unique", "m1"}, {"limit", "900"}});
+    w.command();
+    w.notice(1, "AWAIT", a, ",\"content\":\"Y2FsbA==\"");
+    Peer records = w.below.next();
+    records.request({});
+    Peer::turn = [] {};
+    sleep_for(920);
+    records.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+    w.start();
+    const std::size_t first = answers_until_check(w, 1).size();
+    std::printf("  %zu answers in all\n", first + answers_until_check(w, 2).size());
+    records.to_end();
+  }
+
+  say("SIGTERM with half a request read: its rest comes after the delay, and it is answered, not run");
+  {
+    World w("3000");
+    w.link_up();
+    const std::string whole = World::request(1, a);
+    w.balancer.say(whole.substr(0, 50));
+    w.host->stop();
+    std::printf("  balancer: %s\n", w.balancer.frame().c_str());
+    w.balancer.say(whole.substr(50));
+    std::printf("  balancer: %s\n", w.balancer.frame().c_str());
+    w.balancer.to_end();
+    Peer::until("end", [&] { return w.over; });
+    std::printf("  the end%s\n", w.balancer.was_reset() ? ", by a reset" : "");
+  }
+
+  say("SIGTERM with half a request read and no more of it: a whole end, the server ends");
+  {
+    World w("3000");
+    w.link_up();
+    w.balancer.say(World::request(1, a).substr(0, 50));
+    w.host->stop();
+    std::printf("  balancer: %s\n", w.balancer.frame().c_str());
+    Peer::until("end on its side", [&] { return w.balancer.ended(); });
+    w.balancer.slip_in(World::request(1, a).substr(50)); // what it takes for a request came to a shut side
+    Peer::turn();
+    std::printf("  the end%s\n", w.balancer.was_reset() ? ", by a reset" : "");
+    w.balancer = Peer::listening(5051);
+    Peer::until("end", [&] { return w.over; });
+  }
+
+  say("SIGHUP and SIGTERM in one instant: both are taken");
+  {
+    World w("1500");
+    w.link_up();
+    Peer machines = Peer::listening(7301), lists = Peer::listening(2380), below = Peer::listening(5433);
+    std::FILE* out = std::fopen("host_test.json", "w");
+    std::fputs(World::json("1500", 1).c_str(), out);
+    std::fclose(out);
+    Peer::turn = [] {};
+    std::raise(SIGHUP);
+    w.host->stop();
+    w.start();
+    Peer list = lists.next();
+    std::printf("  announce there: %s\n", list.request({}).c_str());
+    w.balancer.frame();
+    w.balancer.to_end();
+    Peer::until("end", [&] { return w.over; });
+    std::remove("host_test.json");
+    std::printf("  over: %d\n", w.over);
+  }
+
+  say("peers that send without end do not keep due times waiting");
+  {
+    World w("3000");
+    w.link_up();
+    w.ask(1, a, {{"limit", "900"}}); // runs for longer than that
+    w.command();
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> floods;
+    const auto flood_end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+    for (int i = 0; i < 3; ++i)
+      floods.emplace_back([&stop, flood_end] {
+        Peer peer = Peer::quietly_to(5050);
+        std::string bytes;
+        for (std::uint32_t n = 1; n < 400; ++n) bytes += frame_of(frames::check, n, {});
+        while (!stop && std::chrono::steady_clock::now() < flood_end) peer.flood(bytes);
+      });
+    const auto begun = std::chrono::steady_clock::now();
+    std::string answer;
+    Peer::until("answer", [&] { return w.balancer.has(4); });
+    const auto took = std::chrono::steady_clock::now() - begun;
+    stop = true;
+    for (std::thread& flood : floods) flood.join();
+    std::printf("  balancer: %s, %s\n", w.balancer.frame().c_str(),
+                took < std::chrono::seconds(2) ? "in its time" : "late");
+  }
+}
--- a/tests/drain.cpp
+++ b/tests/drain.cpp
@@ -26,4 +26,15 @@
   late.to(150);
   late.read(6, {.waited = 140});
   late.to(200);
+  Scene still;
+  still.say("the process stands still from before the notice: the delay and the kill count from when it may "
+            "have come");
+  still.to(100);
+  still.stand_still(500);
+  still.drain(3000);
+  still.to(2080);
+  still.read(8);
+  still.to(2120);
+  still.read(9);
+  still.to(3100);
 }
--- /dev/null
+++ b/tests/endings.cpp
@@ -0,0 +1,246 @@
+// Every way in which the front ends a connection, with bytes that arrive in that very instant: what was read
+// is answered, what was not is never taken for an op, and no reset takes what the peer has yet to read.
+#include "front.hpp"
+#include "scene.hpp"
+
+#include <asio/io_context.hpp>
+
+constexpr Nanos second = 1000 * ms;
+constexpr std::size_t most = 24;
+
+namespace {
+
+struct Told final : Front::Taker {
+  std::vector<Line> lines;
+  std::size_t lost = 0;
+  void op_came(Line line, OpId, OpTypeId, TenantId, CallerId, Nanos, Nanos, double, double, std::string_view,
+               std::string_view, std::string_view) override {
+    lines.push_back(line);
+  }
+  void line_lost(Line) override { ++lost; }
+};
+
+struct Bench {
+  asio::io_context io;
+  Told told;
+  Nanos now = second;
+  Front front{io, Peer::at(5050), most, 64 * 1024, {{"look"}, {false}, {"acme"}, true}, told};
+
+  Bench() {
+    front.accept_again(ms);
+    front.when_full({Way::unheard, Way::idle, Way::newest}, 8);
+    front.leave_to_end(second / 2);
+    front.first_word(3 * second / 2);
+    front.unread(4 * second);
+    Peer::turn = [this] { turn(); };
+  }
+  ~Bench() {
+    Peer::turn = [] {};
+  }
+  void turn() {
+    io.restart();
+    io.poll();
+    front.flush(now);
+  }
+  void pass(Nanos time) {
+    now += time;
+    for (int i = 0; i < 3; ++i) turn();
+  }
+  Line asked(Peer& peer, std::uint32_t stream) {
+    const std::size_t before = told.lines.size();
+    peer.say(ask(stream, "9b1f03aa5c7e2d41"));
+    Peer::until("op", [&] { return told.lines.size() > before; });
+    return told.lines.back();
+  }
+  // A peer that has had an op answered, and has not read the answer.
+  Peer answered(std::uint32_t stream = 1) {
+    Peer peer = Peer::to(5050);
+    front.served(asked(peer, stream), "result");
+    turn();
+    return peer;
+  }
+};
+
+void say(const char* what) { std::printf("# %s\n", what); }
+// What the peer was sent to the end, and how that came.
+void left(Peer& peer, int frames) {
+  for (int i = 0; i < frames; ++i) std::printf("  %s\n", peer.frame().c_str());
+  peer.to_end();
+  std::printf("  the end%s\n", peer.was_reset() ? ", by a reset" : "");
+}
+void after_it(Bench& b, Peer& peer, std::size_t ops) {
+  for (int i = 0; i < 4; ++i) b.turn();
+  std::printf("  after it: %s, %zu ops read\n", peer.was_reset() ? "a reset" : "no reset",
+              b.told.lines.size() - ops);
+}
+const std::string request = ask(7, "9b1f03aa5c7e2d42");
+
+// A connection ends by `end`; in that instant its peer sends what `bytes` says.
+void crossing(const char* what, const std::string& bytes, const std::function<void(Bench&, Peer&)>& end) {
+  say(what);
+  Bench b;
+  Peer peer = b.answered();
+  end(b, peer);
+  Peer::until("end on our side", [&] { return b.front.connections() == 0; });
+  const std::size_t ops = b.told.lines.size();
+  peer.slip_in(bytes);
+  left(peer, 2);
+  peer.slip_in(bytes); // what comes later still is dropped too
+  after_it(b, peer, ops);
+}
+
+} // namespace
+
+int main() {
+  const auto idle = [](Bench& b, Peer&) {
+    b.front.idle_close(second);
+    b.pass(second);
+    b.pass(second / 2);
+  };
+  crossing("idle, told, and closed: a whole request in the instant of the close", request, idle);
+  crossing("the same, half a request", request.substr(0, 40), idle);
+  crossing("the same, more than its buffers hold at once", std::string(100'000, 'x'), idle);
+  crossing("the listener closes, as in a drain: a request as its last connections end", request,
+           [](Bench& b, Peer&) {
+             b.front.close_doors();
+             b.turn();
+             b.pass(second / 2);
+           });
+
+  say("a request read past the time to end, just before the close, is taken and answered as any");
+  {
+    Bench b;
+    Peer peer = b.answered();
+    b.front.idle_close(second);
+    b.pass(second);
+    b.now += second / 2;
+    peer.slip_in(request); // found by the look before the close
+    b.turn();
+    Peer::until("op", [&] { return b.told.lines.size() == 2; });
+    std::printf("  %zu connections\n", b.front.connections());
+    b.front.served(b.told.lines[1], "crossed");
+    b.turn();
+    b.pass(second / 2);
+    left(peer, 3);
+  }
+
+  say("evicted for room: what comes then is dropped, the room is there at once");
+  {
+    Bench b;
+    Peer peer = b.answered();
+    b.now += ms;
+    std::vector<Peer> others;
+    for (std::size_t i = 1; i < most; ++i) {
+      others.push_back(Peer::to(5050));
+      others.back().say(frame_of(frames::check, 1, {}));
+    }
+    b.now += ms;
+    Peer newest = Peer::to(5050);
+    const std::size_t ops = b.told.lines.size();
+    peer.slip_in(request);
+    left(peer, 2);
+    after_it(b, peer, ops);
+    newest.say(frame_of(frames::check, 1, {}));
+    std::printf("  %s\n", newest.frame().c_str());
+  }
+
+  say("what can't be read any more, with an op open and more bytes than were read: settled, told, a whole "
+      "end");
+  {
+    Bench b;
+    Peer peer = Peer::to(5050);
+    const Line line = b.asked(peer, 1);
+    peer.slip_in(std::string("\4\0\0\0", 4) + std::string(60'000, 'x'));
+    b.turn();
+    b.front.served(line, "settled");
+    b.turn();
+    b.pass(second / 2);
+    left(peer, 3);
+  }
+
+  say("a frame that trickles past its time: told, what still trickles is dropped");
+  {
+    Bench b;
+    Peer peer = b.answered();
+    const std::size_t ops = b.told.lines.size();
+    for (int i = 0; i < 3; ++i) {
+      peer.say(request.substr(static_cast<std::size_t>(i), 1));
+      b.pass(second / 2);
+    }
+    peer.slip_in(request.substr(3));
+    b.pass(second / 2);
+    left(peer, 3);
+    after_it(b, peer, ops);
+  }
+
+  say("half-closed by the peer: with an op open it has its answer, with half a request none is owed");
+  {
+    Bench b;
+    Peer whole = Peer::to(5050), half = Peer::to(5050);
+    const Line line = b.asked(whole, 1);
+    half.say(request.substr(0, 40));
+    whole.stop_sending(), half.stop_sending();
+    left(half, 0);
+    b.front.served(line, "result");
+    left(whole, 1);
+    std::printf("  %zu lost\n", b.told.lost);
+  }
+
+  say("connected and written to before the listener closes, and not accepted yet: read and answered");
+  {
+    Bench b;
+    Peer::turn = [] {};
+    std::vector<Peer> waiting;
+    for (int i = 0; i < 20; ++i) {
+      waiting.push_back(Peer::to(5050));
+      waiting.back().slip_in(request);
+    }
+    Peer::turn = [&b] { b.turn(); };
+    b.front.close_doors();
+    std::printf("  %zu ops read\n", b.told.lines.size());
+    for (const Line line : b.told.lines) b.front.refused(line, 0, false);
+    b.turn();
+    b.pass(second / 2);
+    for (Peer& peer : waiting) {
+      peer.frame(), peer.frame();
+      peer.to_end();
+      if (peer.was_reset()) std::puts("  a reset");
+    }
+    Peer::until("close", [&] {
+      waiting.clear();
+      return b.front.closed();
+    });
+    std::puts("  closed");
+  }
+
+  say("peers that never end: their connections go at the end of their time, the rest of a drain waits no "
+      "longer");
+  {
+    Bench b;
+    std::vector<Peer> deaf;
+    for (int i = 0; i < 10; ++i) deaf.push_back(b.answered());
+    b.front.close_doors();
+    b.turn();
+    b.pass(second / 2);
+    std::printf("  %zu connections, closed: %d\n", b.front.connections(), b.front.closed());
+    b.pass(second / 2);
+    std::printf("  closed: %d\n", b.front.closed());
+  }
+
+  say("one that takes nothing of what waits for it ends when nobody can wait for that any more");
+  {
+    Bench b;
+    Peer peer = Peer::to(5050);
+    peer.small_window();
+    std::uint32_t stream = 0;
+    Peer::until("room to end", [&] { // until some of it waits here
+      b.front.served(b.asked(peer, ++stream), std::string(4096, 'x'));
+      b.turn();
+      return b.front.waiting() > 0;
+    });
+    b.pass(4 * second - ms);
+    std::printf("  %zu connections\n", b.front.connections());
+    b.pass(second / 2);
+    std::printf("  %zu connections\n", b.front.connections());
+  }
+}
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -267,10 +267,15 @@
     const Line crossing = b.asked(late, ask(2, txn));
     b.now += second;
     Peer::turn();
-    late.say(ask(3, txn));
-    b.front.served(crossing, "settled");
-    heard(late), heard(late);
     b.front.when_full({Way::newest}, 3);
+    std::vector<Line> past; // three that may have been on the way are read and answered, a fourth is not
+    for (std::uint32_t i = 3; i < 6; ++i) past.push_back(b.asked(late, ask(i, txn)));
+    const std::size_t read = b.told.lines.size();
+    late.say(ask(6, txn));
+    if (b.told.lines.size() != read) std::puts("  more was read");
+    b.front.served(crossing, "settled");
+    for (const Line line : past) b.front.refused(line, 0, false);
+    for (int i = 0; i < 5; ++i) heard(late);
     Peer again = Peer::to(5050);
     for (std::uint32_t i = 1; i < 9; ++i) again.say(ask(i, "no id"));
     for (int i = 0; i < 5; ++i) heard(again);
@@ -295,6 +300,9 @@
   heard(good);
   b.now += second;
   good.to_end(), waiting.to_end();
+  std::printf("  closed: %d\n", b.front.closed()); // not while their sides stand open, for as long again
+  b.now += second;
+  Peer::turn();
   std::printf("  closed: %d\n", b.front.closed());
   Peer late = Peer::to(5050);
   std::printf("  after it: %s\n", late.refused() ? "refused" : "taken");
--- a/tests/keys.cpp
+++ b/tests/keys.cpp
@@ -23,6 +23,13 @@
   s.read(9, {.type = 1});
   s.read(10, {.type = 1, .patience = 100});
   s.to(800);
+  Scene w({{"op_type.1.key_window_ns", 1e9}});
+  w.say("two tries of one op lay unread for longer than their window: the first is kept all the same");
+  w.to(2000);
+  w.read(1, {.type = 1, .waited = 1500});
+  w.read(2, {.type = 1, .waited = 700, .earlier = OpId{1}});
+  w.to(2100);
+  w.ended(1);
   Scene h({{"halt", std::string("drop")}});
   h.say("one that fell back into the hold has run: retryable it may again, keyed it is failed, not nacked");
   h.read(1);
--- a/tests/link.cpp
+++ b/tests/link.cpp
@@ -2,6 +2,7 @@
 #include "scene.hpp"
 
 #include <asio/io_context.hpp>
+#include <sys/resource.h>
 
 struct Told final : Interpreter::Taker {
   int caught = 0;
@@ -136,4 +137,78 @@
   fifth.say(std::string(70'000, 'x'));
   Peer sixth = machine.next();
   heard(sixth);
+
+  say("a link that is taken and never speaks, or falls silent with a question out: made anew; trickling is "
+      "speaking");
+  link.silent_for(40 * ms);
+  sixth.reset();
+  Peer mute = machine.next();
+  heard(mute);
+  Peer seventh = machine.next();
+  heard(seventh);
+  mute.to_end();
+  const std::string banner = "{\"action\":\"BANNER\",\"code\":\"running\",\"wall_ms\":990}\n";
+  const auto pass = [&](Nanos time) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::nanoseconds(time);
+    Peer::until("time", [&] { return std::chrono::steady_clock::now() >= end; });
+  };
+  for (const char c : banner) seventh.say(std::string(1, c)), pass(2 * ms);
+  seventh.line();
+  seventh.say("{\"action\":\"TOPS\",\"echo\":\"" + std::to_string(link.next_question() - 1) +
+              "\",\"meters\":[1]}\n");
+  caught_up(6);
+  pass(100 * ms); // nothing is owed
+  std::printf("  up: %d\n", link.up());
+  link.ask_gauges();
+  Peer eighth = machine.next();
+  heard(eighth);
+
+  say("no descriptor is free for it: made once one is");
+  {
+    const int next = dup(0);
+    close(next);
+    rlimit limit{}, all{};
+    getrlimit(RLIMIT_NOFILE, &all);
+    limit = {static_cast<rlim_t>(next), all.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    link.link_again(30 * ms);
+    eighth.reset();
+    pass(10 * ms); // the link has ended, its descriptor is free, and the test takes it
+    std::vector<int> taken;
+    for (int fd; (fd = dup(0)) >= 0;) taken.push_back(fd);
+    pass(90 * ms);
+    std::printf("  up: %d\n", link.up());
+    for (const int fd : taken) close(fd);
+    setrlimit(RLIMIT_NOFILE, &all);
+    Peer ninth = machine.next();
+    heard(ninth);
+  }
+
+  say("it does not read: made anew before what waits for it fills the memory");
+  {
+    Peer small = Peer::listening(7302);
+    Told quiet;
+    Interpreter other(io, Peer::at(7302), 64 * 1024, quiet);
+    other.link_again(ms);
+    Peer::turn = [&] {
+      io.restart();
+      io.poll();
+      other.flush();
+    };
+    Peer stuck = small.next();
+    stuck.small_window();
+    stuck.line();
+    stuck.say("{\"action\":\"BANNER\",\"code\":\"running\",\"wall_ms\":5}\n");
+    stuck.line();
+    stuck.say("{\"action\":\"TOPS\",\"echo\":\"1\",\"meters\":[1]}\n");
+    Peer::until("link", [&] { return quiet.caught == 1; });
+    std::size_t sent = 0;
+    Peer::until("break", [&] {
+      if (other.up()) other.run(OpId{7}, "look", std::string(2048, 'x')), ++sent;
+      return !other.up();
+    });
+    Peer again = small.next();
+    heard(again);
+    std::printf("  made anew before %s\n", sent < 20'000 ? "50 MB waited" : "nothing");
+  }
 }
--- /dev/null
+++ b/tests/many.cpp
@@ -0,0 +1,272 @@
+// Processes of the program with their other parties on loopback: thirty that start in one instant, each with
+// something late, mute, refused or silent beside it; what thirty cold ones do together to one service below;
+// idle clients that fill every descriptor while the list is down. Usage: many PROGRAM; prints what held.
+#include "child.hpp"
+#include "histogram.hpp"
+#include "party.hpp"
+#include "scene.hpp"
+#include "site.hpp"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sys/resource.h>
+
+using namespace cometshift::load;
+using namespace cometshift::standin;
+
+namespace {
+
+constexpr Nanos second = 1000 * ms;
+constexpr int thirty = 30;
+const std::string folder = "many.folder";
+asio::io_context io;
+
+void say(const char* what) { std::printf("# %s\n", what); }
+
+void run_for(Nanos time) {
+  const Nanos end = steady_now() + time;
+  while (steady_now() < end) io.run_for(std::chrono::milliseconds(1));
+}
+
+// One process with its interpreter and its list; each has ports of its own.
+struct Server {
+  int number;
+  Tcp::endpoint listen, vm, list;
+  std::unique_ptr<Machine> machine;
+  std::unique_ptr<AnnounceService> announce;
+  std::unique_ptr<Child> process;
+  std::unique_ptr<Peer> caller;
+  Nanos began = 0, ready = -1, last_asked = 0;
+  std::uint32_t stream = 0;
+  int answers = 0, acked = 0;
+
+  static Tcp::endpoint at(int port) {
+    const std::string place = Peer::at(port);
+    return {asio::ip::make_address(place.substr(0, place.find(':'))), static_cast<unsigned short>(port)};
+  }
+  explicit Server(int n) : number(n), listen(at(20000 + n)), vm(at(21000 + n)), list(at(22000 + n)) {}
+  void with_machine() { machine = std::make_unique<Machine>(io, vm, 4, number + 1, Watcher{}); }
+  void with_list() { announce = std::make_unique<AnnounceService>(io, list, number + 1); }
+  // `limit`: descriptors that the system lets it have; 0: as they are.
+  void start(const std::string& program, Site site, Tcp::endpoint records, int limit = 0) {
+    const std::string path = folder + "/" + std::to_string(number);
+    site.name = "n" + std::to_string(number);
+    site.seed = static_cast<std::uint64_t>(number) + 1;
+    write_file(path + ".json", configuration(site, words(listen), words(vm), words(list), words(records)));
+    std::vector<std::string> command{program, "serve", "--config", path + ".json"};
+    if (limit > 0)
+      command = {"/bin/sh", "-c",
+                 "ulimit -n " + std::to_string(limit) + "; exec " + program + " serve --config " + path +
+                     ".json"};
+    began = steady_now();
+    process = std::make_unique<Child>(command, path + ".log");
+  }
+  // Asks ten times a second, on a connection that is made anew as long as none is taken.
+  void ask_on(Nanos now, Nanos every) {
+    if (!caller || caller->ended()) caller = std::make_unique<Peer>(Peer::to(listen.port())), stream = 0;
+    take();
+    if (now - last_asked < every) return;
+    last_asked = now;
+    char txn[17];
+    std::snprintf(txn, sizeof txn, "%08x%08x", number + 1, ++asked_);
+    const std::string door = std::to_string(unix_now() / ms);
+    caller->slip_in(ask(++stream, txn,
+                        {{"verb", "bay-check"}, {"team", "main-lot"}, {"door", door}, {"limit", "1800"}},
+                        "w=2000;c=1;"));
+  }
+  void take() {
+    while (caller->has(4)) {
+      const std::string frame = caller->frame();
+      if (!frame.starts_with("answer on ") || frame.starts_with("answer on 0")) continue;
+      ++answers;
+      if (frame.find("code 0") == std::string::npos) continue;
+      ++acked;
+      if (ready < 0) ready = steady_now() - began;
+    }
+  }
+  std::size_t descriptors() const {
+    std::size_t count = 0;
+    for ([[maybe_unused]] const auto& entry :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(process->pid()) + "/fd"))
+      ++count;
+    return count;
+  }
+
+ private:
+  int asked_ = 0;
+};
+using Servers = std::vector<Server*>;
+
+// Those of one part; each has ports of its own, and the parties stay to the end.
+Servers some(int count) {
+  static std::vector<std::unique_ptr<Server>> all;
+  Servers servers;
+  for (; count > 0; --count)
+    servers.push_back(all.emplace_back(std::make_unique<Server>(static_cast<int>(all.size()))).get());
+  return servers;
+}
+RecordsService& service_below() {
+  static std::vector<std::unique_ptr<RecordsService>> all;
+  const int port = 23000 + static_cast<int>(all.size());
+  return *all.emplace_back(std::make_unique<RecordsService>(io, Server::at(port), 1));
+}
+
+void leave(Servers& servers) {
+  for (Server* server : servers) server->process->tell(SIGTERM);
+  int well = 0, gone = 0;
+  const Nanos end = steady_now() + 10 * second;
+  std::vector<bool> ended(servers.size());
+  while (gone < static_cast<int>(servers.size()) && steady_now() < end) {
+    run_for(5 * ms);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      Child::Cost cost;
+      if (servers[i]->caller) servers[i]->caller->hear();
+      if (servers[i]->caller && servers[i]->caller->ended()) servers[i]->caller.reset();
+      if (ended[i] || !servers[i]->process->ended(cost)) continue;
+      ended[i] = true, ++gone;
+      well += cost.exit_code == 0;
+    }
+  }
+  std::printf("  told to leave: %d of %zu ended, %d with 0\n", gone, servers.size(), well);
+}
+
+void ready(const std::string& program) {
+  say("thirty start in one instant; link late, mute, or both, list down or silent, records down for a while");
+  Servers servers = some(thirty);
+  RecordsService& records = service_below();
+  records.latency(2 * ms);
+  static std::vector<std::unique_ptr<Door>> mutes;
+  static std::vector<Tcp::socket> held;
+  for (Server* server : servers) {
+    const int kind = server->number % 6;
+    if (kind != 1 && kind != 2) server->with_machine();
+    if (kind == 2) // taken, and nothing is ever said
+      mutes.push_back(
+          std::make_unique<Door>(io, server->vm, [](Tcp::socket s) { held.push_back(std::move(s)); }));
+    if (kind != 4) server->with_list();
+    if (kind == 3) server->announce->silent(1);
+  }
+  records.down(true);
+  for (Server* server : servers) server->start(program, {.leave_time = 3 * second}, records.address());
+  const Nanos begun = steady_now();
+  bool helped = false;
+  int count = 0;
+  for (Nanos now = begun; now - begun < 12 * second && count < thirty; now = steady_now()) {
+    run_for(2 * ms);
+    if (!helped &&
+        now - begun >= 2 * second) { // late, but there; what is mute is left by its machine for good
+      helped = true;
+      records.down(false);
+      for (auto& door : mutes) door->shut();
+      run_for(ms);
+      for (Server* server : servers)
+        if (!server->machine) server->with_machine();
+    }
+    count = 0;
+    for (Server* server : servers) {
+      server->ask_on(now, 100 * ms);
+      count += server->ready >= 0 && server->ready <= 10 * second;
+    }
+  }
+  std::printf("  an op acked within 10 s of the start: %s\n",
+              count * 10 >= thirty * 9 ? "nine in ten or more" : "too few");
+  int listed = 0;
+  run_for(second);
+  for (Server* server : servers) listed += server->announce && server->announce->listed();
+  std::printf("  listed: %d\n", listed);
+  for (Server* server : servers)
+    if (!server->announce) server->with_list();
+  const Nanos up = steady_now();
+  const auto all_listed = [&] {
+    return std::all_of(servers.begin(), servers.end(), [](const Server* s) { return s->announce->listed(); });
+  };
+  for (Server* server : servers) server->announce->silent(0);
+  while (!all_listed() && steady_now() - up < 3 * second) run_for(5 * ms);
+  std::printf("  the list is back: all listed within 1.5 s: %d\n", steady_now() - up < 3 * second / 2);
+  leave(servers);
+}
+
+// The share of each is a small part of one call, as where the fleet is large.
+void cold_sum(const std::string& program) {
+  say("thirty cold ones, all at once, to one service below whose calls take long");
+  Servers servers = some(thirty);
+  RecordsService& records = service_below();
+  records.latency(60 * ms);
+  records.crowding(1000);
+  constexpr double budget = 6;
+  for (Server* server : servers) {
+    server->with_machine(), server->with_list();
+    server->start(program, {.leave_time = 3 * second, .cold = true, .calls_out = budget / thirty},
+                  records.address());
+  }
+  WindowMean in_hand(5 * second, steady_now());
+  double most = 0, before = 0;
+  int answers = 0, acked = 0;
+  const Nanos begun = steady_now();
+  for (Nanos now = begun; now - begun < 7 * second; now = steady_now()) {
+    run_for(ms);
+    for (Server* server : servers) server->ask_on(now, 50 * ms);
+    in_hand.change(now, records.in_hand() - before);
+    before = records.in_hand();
+    most = std::max(most, in_hand.mean_with(in_hand.count(), 0));
+  }
+  for (Server* server : servers) answers += server->answers, acked += server->acked;
+  std::printf("  the mean in hand over five seconds never passed its budget of %.0f: %d\n", budget,
+              most <= budget);
+  std::printf("  it was used for more than a tenth: %d; ops answered: %d\n", most > budget / 10,
+              answers > 1000 && acked > 100);
+  leave(servers);
+}
+
+// Idle clients come until no more is taken, half of them having said a word; the list is down all the while.
+void descriptors(const std::string& program, int limit) {
+  std::printf("# idle clients fill %d descriptors while the list is down\n", limit);
+  Servers servers = some(1);
+  Server& server = *servers[0];
+  RecordsService& records = service_below();
+  server.with_machine();
+  server.start(program, {.leave_time = 3 * second, .sockets = limit}, records.address(), limit);
+  while (!server.machine->linked() && steady_now() - server.began < 10 * second) run_for(5 * ms);
+  std::vector<Peer> idle;
+  for (int n = 0; n < 2 * limit; ++n) {
+    idle.push_back(Peer::to(server.listen.port()));
+    if (n % 2) idle.back().slip_in(frame_of(frames::check, 1, {}));
+    if (n % 16 == 0) run_for(ms);
+  }
+  run_for(200 * ms);
+  const std::size_t most = server.descriptors();
+  const Nanos begun = steady_now();
+  while (server.acked == 0 && steady_now() - begun < 5 * second) {
+    run_for(2 * ms);
+    server.ask_on(steady_now(), 100 * ms);
+  }
+  std::printf("  within its descriptors: %d; a caller gets in and its op, with a call, is acked: %d\n",
+              most<static_cast<std::size_t>(limit), server.acked> 0);
+  server.with_list();
+  const Nanos up = steady_now();
+  while (!server.announce->listed() && steady_now() - up < 3 * second) run_for(5 * ms);
+  std::printf("  the list is back: listed within 1.5 s: %d\n", steady_now() - up < 3 * second / 2);
+  leave(servers);
+  if (std::ifstream log(folder + "/" + std::to_string(server.number) + ".log"); log)
+    for (std::string line; std::getline(log, line);)
+      if (line.find("Too many open files") != std::string::npos) std::puts("  none was free");
+}
+
+} // namespace
+
+int main(int count, char** words) {
+  if (count != 2) return 2;
+  rlimit files{};
+  getrlimit(RLIMIT_NOFILE, &files);
+  files.rlim_cur = std::min<rlim_t>(files.rlim_max, 4096);
+  setrlimit(RLIMIT_NOFILE, &files);
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder);
+  Peer::turn = [] { io.poll(); };
+  ready(words[1]);
+  cold_sum(words[1]);
+  descriptors(words[1], 384);
+  descriptors(words[1], 512);
+  std::filesystem::remove_all(folder);
+}
--- a/tests/records.cpp
+++ b/tests/records.cpp
@@ -2,10 +2,12 @@
 #include "scene.hpp"
 
 #include <asio/io_context.hpp>
+#include <sys/resource.h>
 
 int main() {
   asio::io_context io;
   int all_over = 0;
+  bool quiet = false;
   Records records(io, Peer::at(5432), 2);
   Peer::turn = [&] {
     io.restart();
@@ -22,10 +24,11 @@
            "\r\n\r\n" + body;
   };
   const auto call = [&](unsigned op, Nanos time_out, const char* body) {
-    records.call(OpId{op}, time_out, body, [&all_over, op](Outcome outcome, std::string said) {
+    records.call(OpId{op}, time_out, body, [&all_over, &quiet, op](Outcome outcome, std::string said) {
       static const char* names[] = {"done",        "failed", "shed",   "timed out",
                                     "unreachable", "cut",    "halted", "moot"};
-      std::printf("  call of %x over: %s %s\n", op, names[static_cast<int>(outcome)], said.c_str());
+      if (!quiet)
+        std::printf("  call of %x over: %s %s\n", op, names[static_cast<int>(outcome)], said.c_str());
       ++all_over;
     });
   };
@@ -116,4 +119,48 @@
   at.say(reply("200 OK", "second"));
   ended();
   std::printf("  connections %zu\n", records.connections());
+
+  say("a reply, whole or byte by byte, in the instant of the time-out: one end, whichever it is");
+  const auto idle = std::exchange(Peer::turn, [] {});
+  for (int i = 0; i < 2; ++i) {
+    Peer::turn = idle;
+    quiet = true;
+    const int before = all_over;
+    call(50, 20 * ms, "z");
+    at = service.next();
+    at.request({});
+    Peer::turn = [] {};
+    const std::string late = reply("200 OK", "late");
+    if (i == 0) at.slip_in(late);
+    for (const char byte : i == 1 ? late : "") at.slip_in(std::string_view(&byte, 1));
+    usleep(30'000); // both are there now
+    Peer::turn = idle;
+    at.to_end();
+    std::printf("  ends %d, connections %zu\n", all_over - before, records.connections());
+  }
+  quiet = false;
+
+  say("no descriptor is free: the call never leaves; the next does, once one is");
+  {
+    at = Peer(dup(0)); // nothing else of the test's may come free meanwhile
+    std::vector<int> taken;
+    const int next_free = dup(0);
+    close(next_free);
+    rlimit limit{}, all{};
+    getrlimit(RLIMIT_NOFILE, &all);
+    limit = {static_cast<rlim_t>(next_free) + 2, all.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    for (int fd; (fd = dup(0)) >= 0;) taken.push_back(fd);
+    ended = over();
+    call(51, 5000 * ms, "none");
+    ended();
+    for (const int fd : taken) close(fd);
+    setrlimit(RLIMIT_NOFILE, &all);
+    ended = over();
+    call(52, 5000 * ms, "one");
+    at = service.next();
+    heard(at);
+    at.say(reply("200 OK", "there"));
+    ended();
+  }
 }
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -181,6 +181,7 @@
   int fd_;
   std::string heard_;
   bool ended_ = false;
+  bool was_reset_ = false;
 
   static sockaddr_in place(int port) {
     sockaddr_in at{};
@@ -200,9 +201,11 @@
 
   explicit Peer(int fd) : fd_(made(fd)) {}
   Peer(Peer&& other)
-      : fd_(std::exchange(other.fd_, -1)), heard_(std::move(other.heard_)), ended_(other.ended_) {}
+      : fd_(std::exchange(other.fd_, -1)), heard_(std::move(other.heard_)), ended_(other.ended_),
+        was_reset_(other.was_reset_) {}
   Peer& operator=(Peer&& other) {
     std::swap(fd_, other.fd_), std::swap(heard_, other.heard_), std::swap(ended_, other.ended_);
+    std::swap(was_reset_, other.was_reset_);
     return *this;
   }
   ~Peer() { close(fd_); }
@@ -229,6 +232,19 @@
     turn();
     return peer;
   }
+  // From another thread: what is tested does nothing meanwhile, and nothing is waited for.
+  static Peer quietly_to(int port) {
+    const sockaddr_in there = place(port);
+    Peer peer(socket(AF_INET, SOCK_STREAM, 0));
+    connect(peer.fd_, reinterpret_cast<const sockaddr*>(&there), sizeof there);
+    return peer;
+  }
+  void flood(std::string_view bytes) { // sends, and takes what it is sent
+    char taken[16 * 1024];
+    if (send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) <= 0) usleep(50);
+    while (recv(fd_, taken, sizeof taken, 0) > 0) {
+    }
+  }
   Peer next() { // who connects to it
     int fd = -1;
     until("a connection", [&] { return (fd = accept(fd_, nullptr, nullptr)) >= 0; });
@@ -255,6 +271,10 @@
     close(std::exchange(fd_, -1));
     turn();
   }
+  void small_window() { // takes as little as can be at a time
+    const int least = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &least, sizeof least);
+  }
   void stop_sending() { shutdown(fd_, SHUT_WR), turn(); }
   bool refused() const { // its connection was
     int error = 0;
@@ -265,7 +285,14 @@
     char bytes[4096];
     const ssize_t n = recv(fd_, bytes, sizeof bytes, 0);
     if (n > 0) heard_.append(bytes, static_cast<std::size_t>(n));
-    ended_ = ended_ || n == 0 || (n < 0 && errno == ECONNRESET);
+    was_reset_ = was_reset_ || (n < 0 && errno == ECONNRESET);
+    ended_ = ended_ || n == 0 || was_reset_;
+  }
+  // What a whole ending is: the end came before any reset, also of what is sent after it.
+  bool was_reset() { return hear(), was_reset_; }
+  // Sends without a turn of what is tested, as what comes in the instant between two of its steps.
+  void slip_in(std::string_view bytes) {
+    if (send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) was_reset_ = true;
   }
   bool ended() {
     hear();
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,97 @@
+// For tests of a whole server over loopback sockets: its link, records and announce services, and balancers,
+// are played by the test, in its order.
+#pragma once
+
+#include "configuration.hpp"
+#include "host.hpp"
+#include "scene.hpp"
+
+#include <csignal>
+
+// A server whose link, records and announce services, and balancers, are played by the test.
+struct World {
+  std::string question;
+  bool over = false;
+  Peer machines = Peer::listening(7300), lists = Peer::listening(2379), below = Peer::listening(5432);
+  std::unique_ptr<Host> host;
+  Peer machine, list, balancer;
+
+  static std::string json(const std::string& stop_ms, int elsewhere = 0,
+                          const std::string& window_ns = "9000000000") {
+    std::string json =
+        R"({"name":"n3","listen":"L","vm":"V","announce":"A","records":"R","seed":"8c1f30d27a5be964",
+      "stop_ms":)" +
+        stop_ms + R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+      "settings":{"family_info":{"cpus":2,"mem_limit_kb":5232.5,"gauges":["cpu_busy","runnable"],"key_kb":2,
+      "calls_by_class":[true,true],"passes_deadline":true},
+      "invariants":{"drain_grace_ns":1000000000,"fall_multiple":8.0},
+      "categories":[{"name":"look","deadline_ns":4000000000,"target_ns":3000000000,"effect":"read_like"},
+      {"name":"book","deadline_ns":4000000000,"target_ns":3000000000,"effect":"idempotency_key",
+       "key_ttl_ns":)" +
+        window_ns + R"(}],"parties":[{"name":"acme","quota_rps":68.0}]}})";
+    const std::pair<const char*, int> ports[] = {{"\"L\"", 5050},
+                                                 {"\"V\"", 7300 + elsewhere},
+                                                 {"\"A\"", 2379 + elsewhere},
+                                                 {"\"R\"", 5432 + elsewhere}};
+    for (const auto& [name, port] : ports) json.replace(json.find(name), 3, '"' + Peer::at(port) + '"');
+    return json;
+  }
+
+  explicit World(const std::string& stop_ms, const std::string& window_ns = "9000000000")
+      : host(std::make_unique<Host>(configuration_in(json(stop_ms, 0, window_ns)), "host_test.json")),
+        machine((start(), machines.next())), list(lists.next()), balancer(Peer::to(5050)) {
+    machine.line(); // CONNECT
+    list.request({});
+  }
+  ~World() {
+    Peer::turn = [] {};
+  }
+  void start() {
+    Peer::turn = [this] { over = over || !host->poll(); };
+  }
+  static void hang_up(const std::string& file) {
+    std::FILE* out = std::fopen("host_test.json", "w");
+    std::fputs(file.c_str(), out);
+    std::fclose(out);
+    std::raise(SIGHUP), Peer::turn();
+  }
+  void link_up(const std::string& notices = {}) {
+    machine.say("{\"action\":\"BANNER\",\"code\":\"running\",\"wall_ms\":5000}\n" + notices);
+    command();
+    answer_gauges();
+  }
+  void answer_gauges() {
+    machine.say("{\"action\":\"TOPS\",\"echo\":\"" + question + "\",\"meters\":[0.1,0]}\n");
+  }
+  // The next command that is no question for gauges; those are answered on the way, but for a link's first.
+  std::string command() {
+    for (;;) {
+      const std::string line = machine.line();
+      const std::size_t echo = line.find("\"echo\":\"");
+      if (echo == std::string::npos) return line;
+      const bool first = question.empty();
+      question = line.substr(echo + 8, line.find('"', echo + 8) - echo - 8);
+      if (first) return line;
+      answer_gauges();
+    }
+  }
+  // A request's bytes, as if it had come to the machine a while ago.
+  static std::string request(std::uint32_t stream, const std::string& txn, Fields fields = {},
+                             const char* body = "body", Nanos ago = 0) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    fields.emplace_back(
+        "door",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count() - ago / ms));
+    return ::ask(stream, txn, fields, body);
+  }
+  void ask(std::uint32_t stream, const std::string& txn, Fields fields = {}, const char* body = "body") {
+    balancer.say(request(stream, txn, std::move(fields), body));
+  }
+  void book(std::uint32_t stream, const std::string& txn, const char* mark, const char* body = "body") {
+    ask(stream, txn, {{"verb", "book"}, {"unique", mark}}, body);
+  }
+  void notice(int pos, const char* action, const std::string& txn, const std::string& more) {
+    machine.say("{\"action\":\"" + std::string(action) + "\",\"pos\":" + std::to_string(pos) + ",\"uid\":\"" +
+                txn + "\"" + more + "}\n");
+  }
+};
