--- a/capture/decided.cpp
+++ b/capture/decided.cpp
@@ -45,7 +45,7 @@
   std::string said(word_of(one.kind));
   if (one.op != no_op) said += " " + hex_of(one.op);
   const auto add = [&](const std::string& more) { said += ", " + more; };
-  if (one.why != Why::none) add("why " + std::string(word_of(one.why)));
+  if (one.why != Reason::none) add("why " + std::string(word_of(one.why)));
   char text[48];
   switch (one.kind) {
   case Kind::served:
@@ -73,16 +73,16 @@
   case Kind::idle_close:
     add("after " + ms_of(one.span));
     break;
-  case Kind::strike:
+  case Kind::penalize:
     add("connection " + std::to_string(one.line.connection.raw));
     break;
-  case Kind::pace:
+  case Kind::timing:
     add(std::to_string(one.number) + ", " + ms_of(one.span));
     break;
   case Kind::failed:
   case Kind::give_up_call:
   case Kind::when_full:
-  case Kind::close_doors:
+  case Kind::stop_accepting:
     break;
   }
   return said;
@@ -108,13 +108,13 @@
 void Listener::served(Line line, OpId op, Content result) {
   take({.kind = Kind::served, .op = op, .line = line, .content = digest(result), .size = result.size});
 }
-void Listener::refused(Line line, OpId op, Why why, Nanos stay_away, bool no_retry) {
+void Listener::refused(Line line, OpId op, Reason why, Nanos stay_away, bool no_retry) {
   take({.kind = Kind::refused, .op = op, .line = line, .why = why, .span = stay_away, .flag = no_retry});
 }
-void Listener::failed(Line line, OpId op, Why why) {
+void Listener::failed(Line line, OpId op, Reason why) {
   take({.kind = Kind::failed, .op = op, .line = line, .why = why});
 }
-void Listener::strike(Line line) { take({.kind = Kind::strike, .line = line}); }
+void Listener::penalize(Line line) { take({.kind = Kind::penalize, .line = line}); }
 void Listener::start(OpId op, OpTypeId type, const Content& body, StartNo number) {
   take({.kind = Kind::start,
         .op = op,
@@ -133,13 +133,13 @@
 void Listener::health(bool good) { take({.kind = Kind::health, .flag = good}); }
 void Listener::tell_callers(double value) { take({.kind = Kind::tell_callers, .value = value}); }
 void Listener::idle_close(Nanos after) { take({.kind = Kind::idle_close, .span = after}); }
-void Listener::pace(Pace what, Nanos time) {
-  take({.kind = Kind::pace, .span = time, .number = static_cast<std::uint32_t>(what)});
+void Listener::timing(Timing what, Nanos time) {
+  take({.kind = Kind::timing, .span = time, .number = static_cast<std::uint32_t>(what)});
 }
-void Listener::when_full(std::span<const Way>, int strikes) {
-  take({.kind = Kind::when_full, .number = static_cast<std::uint32_t>(strikes)});
+void Listener::when_full(std::span<const Eviction>, int penalties) {
+  take({.kind = Kind::when_full, .number = static_cast<std::uint32_t>(penalties)});
 }
-void Listener::close_doors() { take({.kind = Kind::close_doors}); }
+void Listener::stop_accepting() { take({.kind = Kind::stop_accepting}); }
 void Listener::note(const char*, std::string_view) {}
 
 } // namespace cometshift
--- a/capture/decided.hpp
+++ b/capture/decided.hpp
@@ -15,7 +15,7 @@
   served = 1,
   refused = 2,
   failed = 3,
-  strike = 4,
+  penalize = 4,
   start = 5,
   resume = 6,
   call = 7,
@@ -23,11 +23,11 @@
   health = 9,
   tell_callers = 10,
   idle_close = 11,
-  pace = 12,
+  timing = 12,
   when_full = 13,
-  close_doors = 14,
+  stop_accepting = 14,
 };
-constexpr Kind last_kind = Kind::close_doors;
+constexpr Kind last_kind = Kind::stop_accepting;
 std::string_view word_of(Kind kind);
 constexpr bool is_final(Kind kind) {
   return kind == Kind::served || kind == Kind::refused || kind == Kind::failed;
@@ -37,13 +37,13 @@
   Kind kind{};
   OpId op = no_op;
   Line line{};
-  Why why = Why::none;
+  Reason why = Reason::none;
   Nanos span = 0; // to stay away, a time-out, a pace
   double value = 0;
   bool flag = false; // no retry, health
   Digest content{};
   std::uint32_t size = 0;   // of the content
-  std::uint32_t number = 0; // op type, pace, strikes
+  std::uint32_t number = 0; // op type, timing, penalties
   std::uint64_t start = 0;  // which start
   bool operator==(const Decided&) const = default;
 };
@@ -61,9 +61,9 @@
 class Listener : public Orders {
  public:
   void served(Line line, OpId op, Content result) override;
-  void refused(Line line, OpId op, Why why, Nanos stay_away, bool no_retry) override;
-  void failed(Line line, OpId op, Why why) override;
-  void strike(Line line) override;
+  void refused(Line line, OpId op, Reason why, Nanos stay_away, bool no_retry) override;
+  void failed(Line line, OpId op, Reason why) override;
+  void penalize(Line line) override;
   void start(OpId op, OpTypeId type, const Content& body, StartNo number) override;
   void resume(OpId op, const Content& reply) override;
   void call(OpId op, Nanos time_out, const Content& body) override;
@@ -71,9 +71,9 @@
   void health(bool good) override;
   void tell_callers(double value) override;
   void idle_close(Nanos after) override;
-  void pace(Pace what, Nanos time) override;
-  void when_full(std::span<const Way> order, int strikes) override;
-  void close_doors() override;
+  void timing(Timing what, Nanos time) override;
+  void when_full(std::span<const Eviction> order, int penalties) override;
+  void stop_accepting() override;
   void note(const char* kind, std::string_view words) override;
 
  protected:
--- a/capture/replay.cpp
+++ b/capture/replay.cpp
@@ -65,7 +65,7 @@
     orders.push_back({.kind = static_cast<Kind>(one.kind()),
                       .op = OpId{one.op()},
                       .line = line_in(one.line()),
-                      .why = static_cast<Why>(one.why()),
+                      .why = static_cast<Reason>(one.why()),
                       .span = one.span(),
                       .value = one.value(),
                       .flag = one.flag(),
--- a/capture/report.cpp
+++ b/capture/report.cpp
@@ -57,61 +57,61 @@
   };
   if (!f) {
     switch (one.why) {
-    case Why::too_many_ops:
+    case Reason::too_many_ops:
       return "the table of ops was full";
-    case Why::too_many_keys:
+    case Reason::too_many_keys:
       return "the table of keys was full";
-    case Why::known:
+    case Reason::known:
       return "its number was that of an op still open here";
-    case Why::other_mark:
+    case Reason::other_mark:
       return "its mark is that of another op, with another body, whose run was heard of";
     default:
       return one.kind == Kind::served ? "" : "the core ended it: " + std::string(word_of(one.why));
     }
   }
   switch (one.why) {
-  case Why::leaving:
+  case Reason::leaving:
     return say("the server was leaving and its delay was over");
-  case Why::memory:
+  case Reason::memory:
     return say("memory: %.0f of %.0f KB were held", f->memory_kb, f->memory_limit_kb);
-  case Why::key_memory:
+  case Reason::key_memory:
     return say("no room to remember its key: %.0f of %.0f KB were held", f->memory_kb, f->memory_limit_kb);
-  case Why::too_big:
+  case Reason::too_big:
     return say("a run of %.0f ms would likely end after the %.0f ms it had; a faster server may do it",
                in_ms(f->run_time), in_ms(f->win_by));
-  case Why::hopeless:
+  case Reason::hopeless:
     return say("no run is short enough: %.0f ms believed, %.0f ms left to be of worth", in_ms(f->run_time),
                in_ms(f->win_by));
-  case Why::line:
+  case Reason::line:
     return say(
         "the line was too long: %zu held, %.0f ms of work over a cap of %.1f, %d on %.0f cores; it was worth "
         "least for its work (%.3g), a run is believed to take %.0f ms, and %.0f ms were left",
         f->held, in_ms(f->line), f->cap, f->on_core, f->cores, f->density * 1e9, in_ms(f->run_time),
         in_ms(f->win_by));
-  case Why::stalled:
-  case Why::hung:
+  case Reason::stalled:
+  case Reason::hung:
     return say("the cores stood still: %d on %.0f cores, nothing ended", f->on_core, f->cores);
-  case Why::due:
+  case Reason::due:
     return say("its due time came (%.0f ms from now); %zu held, %d on %.0f cores, %zu at calls, breaker %s",
                in_ms(f->due), f->held, f->on_core, f->cores, f->at_call, f->breaker_open ? "open" : "shut");
-  case Why::replaced:
+  case Reason::replaced:
     return say("a repeat of it came while it was held, and takes its place");
-  case Why::late_at_call:
+  case Reason::late_at_call:
     return say("at its call with %.0f ms left, and half a run of %.0f ms to come; %.0f calls in hand of "
                "%.1f, %zu wait, "
                "breaker %s",
                in_ms(f->win_by), in_ms(f->core_time), f->calls, f->call_limit, f->at_call,
                f->breaker_open ? "open" : "shut");
-  case Why::call_lost:
+  case Reason::call_lost:
     return say("its call gave no reply and may have had its effect; breaker %s",
                f->breaker_open ? "open" : "shut");
-  case Why::fell_back:
+  case Reason::fell_back:
     return say("it was stopped on the cores and may not run twice");
-  case Why::run_failed:
+  case Reason::run_failed:
     return say("the interpreter ended its run without a result");
-  case Why::never_begun:
+  case Reason::never_begun:
     return say("the interpreter did not begin its run, or does not know the op");
-  case Why::first_failed:
+  case Reason::first_failed:
     return say("what it repeats ended without a result that could be kept");
   default:
     return {};
@@ -240,7 +240,7 @@
       for (const Decided& one : orders_in(entry))
         if (is_final(one.kind))
           ++finals[std::string(word_of(one.kind)) +
-                   (one.why == Why::none ? "" : ", " + std::string(word_of(one.why)))];
+                   (one.why == Reason::none ? "" : ", " + std::string(word_of(one.why)))];
     }
     std::fprintf(out,
                  "%s: server %s, recording %016llx, segment %u, format %u, layout %u, build %s, settings "
@@ -296,7 +296,7 @@
                      : one.kind == Kind::refused ? Rules::Final::nacked
                                                  : Rules::Final::failed);
       std::string end(word_of(one.kind));
-      if (one.why != Why::none) end += ", " + std::string(word_of(one.why));
+      if (one.why != Reason::none) end += ", " + std::string(word_of(one.why));
       ends[one.op] = end;
     }
   }
--- a/capture/tape.cpp
+++ b/capture/tape.cpp
@@ -356,17 +356,17 @@
     take({.kind = Kind::served, .op = op, .line = line, .content = digest(result), .size = result.size});
   orders_.served(line, op, std::move(result));
 }
-void Tape::refused(Line line, OpId op, Why why, Nanos stay_away, bool no_retry) {
+void Tape::refused(Line line, OpId op, Reason why, Nanos stay_away, bool no_retry) {
   if (taping_now_) Listener::refused(line, op, why, stay_away, no_retry);
   orders_.refused(line, op, why, stay_away, no_retry);
 }
-void Tape::failed(Line line, OpId op, Why why) {
+void Tape::failed(Line line, OpId op, Reason why) {
   if (taping_now_) Listener::failed(line, op, why);
   orders_.failed(line, op, why);
 }
-void Tape::strike(Line line) {
-  if (taping_now_) Listener::strike(line);
-  orders_.strike(line);
+void Tape::penalize(Line line) {
+  if (taping_now_) Listener::penalize(line);
+  orders_.penalize(line);
 }
 void Tape::start(OpId op, OpTypeId type, const Content& body, StartNo number) {
   if (taping_now_) Listener::start(op, type, body, number);
@@ -396,17 +396,17 @@
   if (taping_now_) Listener::idle_close(after);
   orders_.idle_close(after);
 }
-void Tape::pace(Pace what, Nanos time) {
-  if (taping_now_) Listener::pace(what, time);
-  orders_.pace(what, time);
+void Tape::timing(Timing what, Nanos time) {
+  if (taping_now_) Listener::timing(what, time);
+  orders_.timing(what, time);
 }
-void Tape::when_full(std::span<const Way> order, int strikes) {
-  if (taping_now_) Listener::when_full(order, strikes);
-  orders_.when_full(order, strikes);
+void Tape::when_full(std::span<const Eviction> order, int penalties) {
+  if (taping_now_) Listener::when_full(order, penalties);
+  orders_.when_full(order, penalties);
 }
-void Tape::close_doors() {
-  if (taping_now_) Listener::close_doors();
-  orders_.close_doors();
+void Tape::stop_accepting() {
+  if (taping_now_) Listener::stop_accepting();
+  orders_.stop_accepting();
 }
 void Tape::note(const char* kind, std::string_view words) { orders_.note(kind, words); }
 
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -141,15 +141,15 @@
   const bool known = ops_.contains(id);
   const bool no_key_room = keyed && keys_.size() >= most_keys_;
   if (known || ops_.size() >= most_ops_ || no_key_room) {
-    const Why why = known ? Why::known : no_key_room ? Why::too_many_keys : Why::too_many_ops;
+    const Reason why = known ? Reason::known : no_key_room ? Reason::too_many_keys : Reason::too_many_ops;
     orders_.note("request", known ? "refused, its txn is known" : "refused, too many");
     orders_.refused(line, id, why, 0, false);
-    return known ? orders_.strike(line) : void();
+    return known ? orders_.penalize(line) : void();
   }
   if (keyed && contested(*at_key)) {
     orders_.note("request", "refused, the mark of another op");
-    orders_.refused(line, id, Why::other_mark, 0, true);
-    return orders_.strike(line);
+    orders_.refused(line, id, Reason::other_mark, 0, true);
+    return orders_.penalize(line);
   }
   const OpId earlier = at_key ? earlier_of(*at_key, keyed, door) : no_op;
   double worth = 1;
@@ -186,7 +186,7 @@
   if (Op* op = open(id)) answered(id, *op);
 }
 
-void Core::nack(OpId id, Why why, bool no_retry, Nanos stay_away) {
+void Core::nack(OpId id, Reason why, bool no_retry, Nanos stay_away) {
   Op* op = open(id);
   if (!op) return;
   orders_.refused(op->line, id, why, stay_away, no_retry);
@@ -194,7 +194,7 @@
   answered(id, *op);
 }
 
-void Core::fail(OpId id, Why why) {
+void Core::fail(OpId id, Reason why) {
   Op* op = open(id);
   if (!op) return;
   orders_.failed(op->line, id, why);
@@ -300,7 +300,7 @@
     if (outcome == Outcome::done)
       orders_.served(op.line, id, std::move(result));
     else
-      orders_.failed(op.line, id, outcome == Outcome::moot ? Why::never_begun : Why::run_failed);
+      orders_.failed(op.line, id, outcome == Outcome::moot ? Reason::never_begun : Reason::run_failed);
     answered(id, op);
   }
   choice_->run_ended(now, id, outcome, lag);
@@ -312,7 +312,7 @@
   // A start that was none: nothing was begun, and nothing else will be heard of it.
   if (const auto at = ops_.find(id);
       at != ops_.end() && !at->second.heard && at->second.run == Op::Run::sent) {
-    orders_.strike(at->second.line);
+    orders_.penalize(at->second.line);
     run_over(now, id, Outcome::moot, 0, {});
   }
 }
@@ -479,7 +479,7 @@
       if (done)
         orders_.served(op->line, id, at->second.result);
       else
-        orders_.failed(op->line, id, Why::first_failed);
+        orders_.failed(op->line, id, Reason::first_failed);
       answered(id, *op);
       choice_->run_ended(now, id, done ? Outcome::done : Outcome::failed, 0);
     }
@@ -506,14 +506,14 @@
 void Core::idle_close(Nanos after) { orders_.idle_close(after); }
 void Core::wake_at(Nanos at, WakeId name) { wakes_.emplace(at, name); }
 void Core::log(std::string_view words) { orders_.note("module", words); }
-void Core::pace(Pace what, Nanos time) {
-  if (what == Pace::settle_stray)
+void Core::timing(Timing what, Nanos time) {
+  if (what == Timing::settle_stray)
     stray_rest_ = time;
   else
-    orders_.pace(what, time);
+    orders_.timing(what, time);
 }
-void Core::when_full(std::span<const Way> order, int strikes) { orders_.when_full(order, strikes); }
-void Core::close_doors() { orders_.close_doors(); }
+void Core::when_full(std::span<const Eviction> order, int penalties) { orders_.when_full(order, penalties); }
+void Core::stop_accepting() { orders_.stop_accepting(); }
 
 // ---- what is remembered
 
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -105,8 +105,8 @@
 
   // The module's orders.
   void run(OpId op) override;
-  void nack(OpId op, Why why, bool no_retry, Nanos stay_away) override;
-  void fail(OpId op, Why why) override;
+  void nack(OpId op, Reason why, bool no_retry, Nanos stay_away) override;
+  void fail(OpId op, Reason why) override;
   void call(OpId op, Nanos time_out) override;
   void answer_without(OpId op) override;
   void keep_key(OpId op, Nanos lifetime) override;
@@ -118,9 +118,9 @@
   void idle_close(Nanos after) override;
   void wake_at(Nanos at, WakeId name) override;
   void log(std::string_view words) override;
-  void pace(Pace what, Nanos time) override;
-  void when_full(std::span<const Way> order, int strikes) override;
-  void close_doors() override;
+  void timing(Timing what, Nanos time) override;
+  void when_full(std::span<const Eviction> order, int penalties) override;
+  void stop_accepting() override;
 
   void send_run(OpId id, Op& op);
   Op* open(OpId id); // null if it is answered already
--- a/core/orders.hpp
+++ b/core/orders.hpp
@@ -78,9 +78,9 @@
   virtual ~Orders() = default;
   // The final answers; one for each op.
   virtual void served(Line line, OpId op, Content result) = 0;
-  virtual void refused(Line line, OpId op, Why why, Nanos stay_away, bool no_retry) = 0;
-  virtual void failed(Line line, OpId op, Why why) = 0;
-  virtual void strike(Line line) = 0; // its op is none that a caller would send
+  virtual void refused(Line line, OpId op, Reason why, Nanos stay_away, bool no_retry) = 0;
+  virtual void failed(Line line, OpId op, Reason why) = 0;
+  virtual void penalize(Line line) = 0; // its op is none that a caller would send
   // Only while the link is up.
   virtual void start(OpId op, OpTypeId type, const Content& body, StartNo number) = 0;
   virtual void resume(OpId op, const Content& reply) = 0;
@@ -90,9 +90,9 @@
   virtual void health(bool good) = 0;
   virtual void tell_callers(double value) = 0;
   virtual void idle_close(Nanos after) = 0;
-  virtual void pace(Pace what, Nanos time) = 0;
-  virtual void when_full(std::span<const Way> order, int strikes) = 0;
-  virtual void close_doors() = 0;
+  virtual void timing(Timing what, Nanos time) = 0;
+  virtual void when_full(std::span<const Eviction> order, int penalties) = 0;
+  virtual void stop_accepting() = 0;
   virtual void note(const char* kind, std::string_view words) = 0; // for the log; kinds are literals
 };
 
--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -73,9 +73,9 @@
   void settle_rules();
 
   void served(Line line, OpId op, Content result) override;
-  void refused(Line line, OpId op, Why why, Nanos stay_away, bool no_retry) override;
-  void failed(Line line, OpId op, Why why) override;
-  void strike(Line) override {}
+  void refused(Line line, OpId op, Reason why, Nanos stay_away, bool no_retry) override;
+  void failed(Line line, OpId op, Reason why) override;
+  void penalize(Line) override {}
   void start(OpId op, OpTypeId type, const Content& body, StartNo number) override;
   void resume(OpId op, const Content& reply) override;
   void call(OpId op, Nanos time_out, const Content& body) override;
@@ -83,9 +83,9 @@
   void health(bool good) override;
   void tell_callers(double) override {}
   void idle_close(Nanos) override {}
-  void pace(Pace, Nanos) override {}
-  void when_full(std::span<const Way>, int) override {}
-  void close_doors() override {}
+  void timing(Timing, Nanos) override {}
+  void when_full(std::span<const Eviction>, int) override {}
+  void stop_accepting() override {}
   void note(const char*, std::string_view) override {}
 };
 
@@ -316,14 +316,14 @@
   rules.answered(unix_begin + fleet.now, op, Rules::Final::served);
   fleet.at(fleet.now + hop, [this, op] { fleet.answer(op, load::Demand::Answer::served, 0, false); });
 }
-void Node::refused(Line, OpId op, Why why, Nanos stay_away, bool no_retry) {
+void Node::refused(Line, OpId op, Reason why, Nanos stay_away, bool no_retry) {
   rules.answered(unix_begin + fleet.now, op, Rules::Final::nacked);
   ++fleet.row.reasons[fleet.kind_of(op) + std::string(word_of(why))];
   fleet.at(fleet.now + hop, [this, op, stay_away, no_retry] {
     fleet.answer(op, load::Demand::Answer::refused, stay_away, no_retry);
   });
 }
-void Node::failed(Line, OpId op, Why why) {
+void Node::failed(Line, OpId op, Reason why) {
   rules.answered(unix_begin + fleet.now, op, Rules::Final::failed);
   ++fleet.row.reasons[fleet.kind_of(op) + "failed, " + std::string(word_of(why))];
   fleet.at(fleet.now + hop, [this, op] { fleet.answer(op, load::Demand::Answer::failed, 0, false); });
--- a/emulator/plain.cpp
+++ b/emulator/plain.cpp
@@ -30,7 +30,7 @@
   if (effect && effect->first != no_op) {
     if (effect->over)
       return effect->done ? orders_.served(line, id, Content("result"))
-                          : orders_.failed(line, id, Why::first_failed);
+                          : orders_.failed(line, id, Reason::first_failed);
     if (ops_.contains(effect->first)) {
       ops_.emplace(id, Op{.line = line,
                           .type = type,
@@ -43,7 +43,8 @@
       return;
     }
   }
-  if (leaving_ || queue.waiting.size() >= queue.bound) return orders_.refused(line, id, Why::line, 0, false);
+  if (leaving_ || queue.waiting.size() >= queue.bound)
+    return orders_.refused(line, id, Reason::line, 0, false);
   if (effect) effect->first = id;
   ops_.emplace(id, Op{.line = line,
                       .type = type,
@@ -67,7 +68,7 @@
   }
 }
 
-void Plain::fail(OpId id, Why why) {
+void Plain::fail(OpId id, Reason why) {
   Op& op = ops_.at(id);
   if (op.answered) return;
   op.answered = true;
@@ -86,7 +87,8 @@
   Queue& queue = queue_of(op.type);
   --queue.running;
   const bool done = outcome == Outcome::done;
-  if (!op.answered) done ? orders_.served(op.line, id, result) : orders_.failed(op.line, id, Why::run_failed);
+  if (!op.answered)
+    done ? orders_.served(op.line, id, result) : orders_.failed(op.line, id, Reason::run_failed);
   if (figures_.keyed[op.type.raw]) {
     Effect& effect = effects_[op.mark];
     effect.over = true;
@@ -96,7 +98,7 @@
       if (other == ops_.end()) continue;
       if (!other->second.answered)
         done ? orders_.served(other->second.line, waiting, result)
-             : orders_.failed(other->second.line, waiting, Why::first_failed);
+             : orders_.failed(other->second.line, waiting, Reason::first_failed);
       ops_.erase(other);
     }
     effect.waiting.clear();
@@ -120,7 +122,7 @@
   if (outcome == Outcome::done) return orders_.resume(id, reply);
   if (now + early < at->second.due && proves_not_run(outcome))
     return orders_.call(id, at->second.due - now, at->second.call);
-  fail(id, Why::call_lost);
+  fail(id, Reason::call_lost);
   Queue& queue = queue_of(at->second.type);
   --queue.running;
   if (figures_.keyed[at->second.type.raw]) effects_[at->second.mark].over = true;
@@ -135,16 +137,16 @@
     if (at == ops_.end() || at->second.due - early != dues_.begin()->first) continue;
     Op& op = at->second;
     if (op.running) {
-      fail(id, Why::due);
+      fail(id, Reason::due);
       continue;
     }
     auto& waiting = queue_of(op.type).waiting;
     const auto held = std::find(waiting.begin(), waiting.end(), id);
     if (held == waiting.end()) {
-      fail(id, Why::due); // a repeat that waits for its first
+      fail(id, Reason::due); // a repeat that waits for its first
     } else {
       waiting.erase(held);
-      if (!op.answered) orders_.refused(op.line, id, Why::due, 0, false);
+      if (!op.answered) orders_.refused(op.line, id, Reason::due, 0, false);
       if (figures_.keyed[op.type.raw]) effects_.erase(op.mark);
     }
     ops_.erase(at);
--- a/emulator/plain.hpp
+++ b/emulator/plain.hpp
@@ -61,7 +61,7 @@
   };
   Queue& queue_of(OpTypeId type) { return queues_[figures_.parts.empty() ? 0 : type.raw]; }
   void begin(Nanos now, Queue& queue);
-  void fail(OpId id, Why why);
+  void fail(OpId id, Reason why);
 
   Figures figures_;
   Orders& orders_;
--- a/explore/search.hpp
+++ b/explore/search.hpp
@@ -34,7 +34,7 @@
 // what comes of each), `Digest128 digest() const`, `std::string wrong() const`.
 template <class World>
 Found search(World start, std::uint64_t most_states, unsigned threads) {
-  struct Way {
+  struct Eviction {
     std::uint32_t from, step;
   };
   struct Front {
@@ -42,7 +42,7 @@
     std::uint32_t at; // among the ways
   };
   Found found;
-  std::vector<Way> ways{{0, 0}};
+  std::vector<Eviction> ways{{0, 0}};
   std::unordered_set<Digest128, Digest128::Hash> seen{start.digest()};
   std::vector<Front> front;
   front.push_back({std::move(start), 0});
--- a/node/front.cpp
+++ b/node/front.cpp
@@ -57,18 +57,19 @@
 // Against a table full of connections that say nothing while callers wait outside: one goes, in the order
 // told. False if it is the newest that has to.
 bool Front::make_room() {
-  for (const Way way : order_) {
-    if (way == Way::newest) return false;
+  for (const Eviction way : order_) {
+    if (way == Eviction::newest) return false;
     for (;;) {
       Connection* goes = nullptr;
       for (auto& [id, c] : connections_)
-        if (spare(*c) && c->heard == (way == Way::idle) && (!goes || c->last < goes->last)) goes = c.get();
+        if (spare(*c) && c->heard == (way == Eviction::idle) && (!goes || c->last < goes->last))
+          goes = c.get();
       if (!goes) break;
       const ConnectionId id = goes->id;
       readable(*goes); // against closing over a request that lies unread
       const auto at = connections_.find(id);
       if (at == connections_.end()) return true;
-      if (!spare(*at->second) || at->second->heard != (way == Way::idle)) continue;
+      if (!spare(*at->second) || at->second->heard != (way == Eviction::idle)) continue;
       tell_no_more(*at->second);
       write(*at->second);
       if (const auto still = connections_.find(id); still != connections_.end()) end(*still->second);
@@ -102,11 +103,11 @@
 }
 
 void Front::accept() {
-  if (accepting_ || doors_closed_) return;
+  if (accepting_ || stopped_accepting_) return;
   accepting_ = true;
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
     accepting_ = false;
-    if (doors_closed_) return;
+    if (stopped_accepting_) return;
     if (!error) error = accept_some(accepts_a_turn);
     if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
       return accept();
@@ -167,7 +168,7 @@
 
 bool Front::over(const Connection& c) const {
   if (!c.open.empty() || c.waiting > 0) return false;
-  return c.peer_ended || (c.told_at >= 0 && now_ - c.told_at >= leave_to_end_);
+  return c.peer_ended || (c.draining_since >= 0 && now_ - c.draining_since >= leave_to_end_);
 }
 
 void Front::sweep() {
@@ -176,7 +177,7 @@
   for (auto& [id, c] : connections_) {
     if (least > 0 && c->open.empty() && now_ - c->last >= least) tell_no_more(*c);
     // Against peers that say nothing, or that never end what they began, however it trickles.
-    if (first_word_ > 0 && c->begun >= 0 && now_ - c->begun >= first_word_ && !c->deaf)
+    if (first_word_ > 0 && c->begun >= 0 && now_ - c->begun >= first_word_ && !c->input_ignored)
       c->heard || c->filled > 0 ? void(unreadable(*c, "a frame that does not end")) : tell_no_more(*c);
     if (over(*c)) ended.push_back(id);
     if (unread_ > 0 && c->writing && now_ - c->stuck_since >= unread_) stuck.push_back(id);
@@ -194,14 +195,14 @@
 }
 
 void Front::tell_no_more(Connection& c) {
-  if (c.told_at >= 0) return;
-  c.told_at = now_;
+  if (c.draining_since >= 0) return;
+  c.draining_since = now_;
   say(c, [](std::string& out) { frames::put_no_more(out); });
 }
 
-void Front::close_doors() {
-  if (doors_closed_) return;
-  doors_closed_ = true;
+void Front::stop_accepting() {
+  if (stopped_accepting_) return;
+  stopped_accepting_ = true;
   // Against resetting what was connected, and may have been written to, already.
   while (!accept_some(accepts_a_turn)) {
   }
@@ -214,7 +215,7 @@
 // ---- bytes in
 
 void Front::await_bytes(Connection& c) {
-  if (c.reading || c.peer_ended || c.deaf || c.waiting > most_pending) return;
+  if (c.reading || c.peer_ended || c.input_ignored || c.waiting > most_pending) return;
   c.reading = true;
   c.socket.async_wait(asio::socket_base::wait_read, [this, id = c.id](asio::error_code error) {
     const auto at = connections_.find(id);
@@ -226,7 +227,7 @@
 }
 
 void Front::readable(Connection& c) {
-  if (c.deaf) return;
+  if (c.input_ignored) return;
   if (!c.in) c.in = std::make_unique<char[]>(kept_bytes);
   for (int turn = 0; turn < reads_a_turn; ++turn) {
     asio::error_code error;
@@ -242,7 +243,7 @@
     if (c.begun < 0) c.begun = now_;
     c.filled += n;
     parse(c);
-    if (n < room || c.deaf) break;
+    if (n < room || c.input_ignored) break;
   }
   if (c.filled == 0) c.in.reset(); // most connections are idle
   await_bytes(c);
@@ -252,7 +253,7 @@
   std::size_t from = 0;
   while (from < c.filled) {
     const std::size_t left = c.filled - from;
-    if (c.deaf) {
+    if (c.input_ignored) {
       from = c.filled;
       break;
     }
@@ -290,16 +291,16 @@
 // settled, and then the connection ends. Others notice nothing.
 bool Front::unreadable(Connection& c, const char* why) {
   note("frame", "connection %llu: %s", static_cast<unsigned long long>(c.id.raw), why);
-  c.deaf = true;
+  c.input_ignored = true;
   say(c,
       [](std::string& out) { frames::put_answer(out, frames::answer, 0, frames::failed, -1, 0, false, 0); });
   tell_no_more(c);
   return false;
 }
 
-void Front::strike(Line line) {
+void Front::penalize(Line line) {
   const auto at = connections_.find(line.connection);
-  if (at != connections_.end() && ++at->second->strikes == most_strikes_)
+  if (at != connections_.end() && ++at->second->penalties == most_penalties_)
     unreadable(*at->second, "too many ops that can't be taken");
 }
 
@@ -317,7 +318,7 @@
 bool Front::frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole) {
   // Against peers that go on for ever after they were told to end. A few frames are read as any: they may
   // have been on the way.
-  if (c.told_at >= 0 && now_ - c.told_at >= leave_to_end_ && ++c.past_end > most_strikes_)
+  if (c.draining_since >= 0 && now_ - c.draining_since >= leave_to_end_ && ++c.past_end > most_penalties_)
     return unreadable(c, "goes on after its end");
   if (type == frames::ask) return ask(c, stream, payload, whole);
   if (type != frames::check) return unreadable(c, "an unknown type");
@@ -408,7 +409,7 @@
   note("request", "refused, %s", why);
   c.open.insert(stream);
   refused({c.id, stream}, 0, true);
-  strike({c.id, stream});
+  penalize({c.id, stream});
   return true;
 }
 
@@ -427,7 +428,7 @@
     frames::put_answer(out, frames::answer, line.stream.raw, frames::good, feedback_, 0, false,
                        result.size());
   });
-  c->strikes = 0;
+  c->penalties = 0;
   c->waiting += result.size();
   waiting_ += result.size();
   c->out.push_back(std::move(result));
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -50,16 +50,16 @@
   void silent_close(Nanos after) { silent_ = after; }
   void first_word(Nanos time) { first_word_ = time; }
   void unread(Nanos time) { unread_ = time; }
-  void when_full(std::vector<Way> order, int strikes) {
+  void when_full(std::vector<Eviction> order, int penalties) {
     order_ = std::move(order);
-    most_strikes_ = strikes;
+    most_penalties_ = penalties;
   }
   // Its op is none that a caller would send: too many of them, and its connection ends.
-  void strike(Line line);
+  void penalize(Line line);
   void leave_to_end(Nanos time) { leave_to_end_ = time; }
   void accept_again(Nanos rest) { accept_again_ = rest; }
-  void close_doors();
-  bool closed() const { return doors_closed_ && connections_.empty() && endings_.empty(); }
+  void stop_accepting();
+  bool closed() const { return stopped_accepting_ && connections_.empty() && endings_.empty(); }
   void flush(Nanos now); // one gathered write for each connection with something to say
 
   std::size_t connections() const { return connections_.size(); }
@@ -77,19 +77,19 @@
     std::size_t written = 0; // of the first of them
     std::size_t waiting = 0; // bytes to write
     std::set<StreamId> open;
-    StreamId used_to;        // all streams to it have been used
-    std::set<StreamId> used; // those above it
-    Nanos last = 0;          // something whole was read, or answered
-    Nanos begun = 0;         // waits since then for the rest of a frame, or for its first
-    bool heard = false;      // has brought a whole frame
-    int strikes = 0;         // in a row
-    int past_end = 0;        // frames read past the time to end
-    Nanos stuck_since = 0;   // while there is no room for what waits
-    Nanos told_at = -1;      // that it takes no new op; -1: not told
-    bool reading = false;    // a wait for bytes is out
-    bool writing = false;    // a wait for room is out
-    bool deaf = false;       // what comes is not read as frames any more
-    bool peer_ended = false; // it sends no more
+    StreamId used_to;           // all streams to it have been used
+    std::set<StreamId> used;    // those above it
+    Nanos last = 0;             // something whole was read, or answered
+    Nanos begun = 0;            // waits since then for the rest of a frame, or for its first
+    bool heard = false;         // has brought a whole frame
+    int penalties = 0;          // in a row
+    int past_end = 0;           // frames read past the time to end
+    Nanos stuck_since = 0;      // while there is no room for what waits
+    Nanos draining_since = -1;  // that it takes no new op; -1: not told
+    bool reading = false;       // a wait for bytes is out
+    bool writing = false;       // a wait for room is out
+    bool input_ignored = false; // what comes is not read as frames any more
+    bool peer_ended = false;    // it sends no more
     bool dirty = false;
   };
 
@@ -146,13 +146,13 @@
   Nanos leave_to_end_ = 0;
   Nanos first_word_ = 0;
   Nanos unread_ = 0;
-  std::vector<Way> order_;
-  int most_strikes_ = 0;
+  std::vector<Eviction> order_;
+  int most_penalties_ = 0;
   Nanos accept_again_ = 0;
   double feedback_ = -1;
   bool good_ = true;
   bool accepting_ = false;
-  bool doors_closed_ = false;
+  bool stopped_accepting_ = false;
 };
 
 } // namespace cometshift
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -173,16 +173,16 @@
 }
 
 bool Host::over() const {
-  return core_->leaving() && doors_closed_ && front_.closed() && core_->all_answered() &&
+  return core_->leaving() && stopped_accepting_ && front_.closed() && core_->all_answered() &&
          (!member_ || member_->gone());
 }
 
 void Host::turn() {
   if (core_->anything_due(now())) tape_.due(now());
   ask_gauges();
-  if (doors_closed_)
-    front_.close_doors(); // not within the module's order: what still comes in is handed to it
-  do {                    // a line that is found lost may free others, and what they want
+  if (stopped_accepting_)
+    front_.stop_accepting(); // not within the module's order: what still comes in is handed to it
+  do {                       // a line that is found lost may free others, and what they want
     if (core_->unsettled()) tape_.settle(now());
     front_.flush(now());
   } while (core_->unsettled());
@@ -258,11 +258,11 @@
 // ---- what the core orders
 
 void Host::served(Line line, OpId, Content result) { front_.served(line, std::move(result.bytes)); }
-void Host::refused(Line line, OpId, Why, Nanos stay_away, bool no_retry) {
+void Host::refused(Line line, OpId, Reason, Nanos stay_away, bool no_retry) {
   front_.refused(line, stay_away, no_retry);
 }
-void Host::failed(Line line, OpId, Why) { front_.failed(line); }
-void Host::strike(Line line) { front_.strike(line); }
+void Host::failed(Line line, OpId, Reason) { front_.failed(line); }
+void Host::penalize(Line line) { front_.penalize(line); }
 
 void Host::start(OpId id, OpTypeId type, const Content& body, StartNo number) {
   const std::uint64_t question = interpreter_.next_question();
@@ -291,37 +291,37 @@
   cometshift::note(kind, "%.*s", static_cast<int>(words.size()), words.data());
 }
 
-void Host::pace(Pace what, Nanos time) {
+void Host::timing(Timing what, Nanos time) {
   switch (what) {
-  case Pace::report:
+  case Timing::report:
     return announce_.report_every(time);
-  case Pace::report_wait:
+  case Timing::report_wait:
     return announce_.wait_for_reply(time);
-  case Pace::link_again:
+  case Timing::link_again:
     return interpreter_.link_again(time);
-  case Pace::link_silent:
+  case Timing::link_silent:
     return interpreter_.silent_for(time);
-  case Pace::link_leave:
+  case Timing::link_leave:
     return interpreter_.leave_within(time);
-  case Pace::leave_to_end:
+  case Timing::leave_to_end:
     return front_.leave_to_end(time);
-  case Pace::silent_close:
+  case Timing::silent_close:
     return front_.silent_close(time);
-  case Pace::first_word:
+  case Timing::first_word:
     return front_.first_word(time);
-  case Pace::unread:
+  case Timing::unread:
     return front_.unread(time);
-  case Pace::accept_again:
+  case Timing::accept_again:
     return front_.accept_again(time);
-  case Pace::settle_stray:
+  case Timing::settle_stray:
     return; // the core's own
   }
 }
 
-void Host::when_full(std::span<const Way> order, int strikes) {
-  front_.when_full({order.begin(), order.end()}, strikes);
+void Host::when_full(std::span<const Eviction> order, int penalties) {
+  front_.when_full({order.begin(), order.end()}, penalties);
 }
 
-void Host::close_doors() { doors_closed_ = true; }
+void Host::stop_accepting() { stopped_accepting_ = true; }
 
 } // namespace cometshift
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -38,9 +38,9 @@
  private:
   // The core's orders.
   void served(Line line, OpId op, Content result) override;
-  void refused(Line line, OpId op, Why why, Nanos stay_away, bool no_retry) override;
-  void failed(Line line, OpId op, Why why) override;
-  void strike(Line line) override;
+  void refused(Line line, OpId op, Reason why, Nanos stay_away, bool no_retry) override;
+  void failed(Line line, OpId op, Reason why) override;
+  void penalize(Line line) override;
   void start(OpId op, OpTypeId type, const Content& body, StartNo number) override;
   void resume(OpId op, const Content& reply) override;
   void call(OpId op, Nanos time_out, const Content& body) override;
@@ -48,9 +48,9 @@
   void health(bool good) override;
   void tell_callers(double value) override;
   void idle_close(Nanos after) override;
-  void pace(Pace what, Nanos time) override;
-  void when_full(std::span<const Way> order, int strikes) override;
-  void close_doors() override;
+  void timing(Timing what, Nanos time) override;
+  void when_full(std::span<const Eviction> order, int penalties) override;
+  void stop_accepting() override;
   void note(const char* kind, std::string_view words) override;
 
   // What the sockets bring.
@@ -98,7 +98,7 @@
   Nanos asked_for_ = 0;    // the wake-up that the gauges were asked for
   Nanos lead_ = 1'000'000; // of that question before the wake-up: a round trip and room
   Clock clock_;
-  bool doors_closed_ = false;
+  bool stopped_accepting_ = false;
 
   Front front_;
   Interpreter interpreter_;
--- a/pools/pools.cpp
+++ b/pools/pools.cpp
@@ -200,7 +200,7 @@
     let_in += one.work_a_second;
   }
   const bool pressed = capacity_.known() && let_in > pressed_from * a_second;
-  const auto refuse = [&](Why why, Nanos come_back) {
+  const auto refuse = [&](Reason why, Nanos come_back) {
     ++pool.refused;
     return Verdict{false, 0, why, std::clamp(come_back, least_come_back, most_come_back)};
   };
@@ -223,7 +223,7 @@
   if (pool.ceiling < 1) {
     pool.ceiling_room.fill(now, pool.ceiling * a_second, window_);
     if (!pool.ceiling_room.take(work))
-      return refuse(Why::ceiling, pool.ceiling_room.until(pool.ceiling * a_second));
+      return refuse(Reason::ceiling, pool.ceiling_room.until(pool.ceiling * a_second));
     op.work = work;
   }
   bool safe = false;
@@ -239,7 +239,7 @@
   }
   open_.emplace(id, op);
   const double worth = safe ? protected_worth : worth_of(pool, tenant) * (over_budget ? repeat_worth : 1);
-  return {true, worth, Why::none, 0};
+  return {true, worth, Reason::none, 0};
 }
 
 void Pools::off_cores(Nanos now, Open& op) {
--- a/pools/pools.hpp
+++ b/pools/pools.hpp
@@ -49,7 +49,7 @@
   struct Verdict {
     bool pass = true;
     double worth = 1; // how much the op counts with the module, as a factor
-    Why why = Why::none;
+    Reason why = Reason::none;
     Nanos come_back = 0;
   };
   // An op came; `trace` is the same for tries of one op as far as can be told, `answerable`: its first try
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -93,13 +93,13 @@
   WireServer(Lines& lines, std::int64_t instance) : lines_(lines), instance_(instance) {}
 
   void run(OpId op) override { open("DISPATCH", op), close(); }
-  void nack(OpId op, Why, bool no_retry, Nanos stay_away) override {
+  void nack(OpId op, Reason, bool no_retry, Nanos stay_away) override {
     open("OVERLOAD_REPLY", op);
     if (no_retry) field("no_retry", true);
     if (stay_away > 0) field("pause_ns", stay_away);
     close();
   }
-  void fail(OpId op, Why) override { open("DROP_REQUEST", op), close(); }
+  void fail(OpId op, Reason) override { open("DROP_REQUEST", op), close(); }
   void call(OpId op, Nanos time_out) override { open("CALL", op), field("timeout_ns", time_out), close(); }
   void answer_without(OpId op) override { open("DO_WITHOUT", op), close(); }
   void keep_key(OpId op, Nanos lifetime) override {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -101,9 +101,9 @@
 constexpr Nanos accept_rest = 20 * ms;     // after a failed accept: no spinning, no long wait
 constexpr Nanos stray_rest = 2 * second;   // by then both sides know that an op is over; most runs have ended
 constexpr Nanos first_word = 1500 * ms;    // for a frame to come whole: callers speak when they connect
-constexpr int strikes = 8; // ops in a row that no caller sends, on one connection: no more is read of it
+constexpr int penalties = 8; // ops in a row that no caller sends, on one connection: no more is read of it
 // The mute are no callers, an idle caller only has to connect anew, the newest would lose an op.
-constexpr std::array full_order{Way::unheard, Way::idle, Way::newest};
+constexpr std::array full_order{Eviction::mute, Eviction::idle, Eviction::newest};
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -176,23 +176,23 @@
     tenants_.push_back({.quota = number(given, "tenant." + std::to_string(t) + ".quota", 0) / fleet});
   progress_at_ = counted_from_ = now;
   const Nanos report = span(given, "list_lapse_ns", 0) / report_part;
-  server_.pace(Pace::report, report);
-  server_.pace(Pace::report_wait, report);
-  server_.pace(Pace::link_again, link_rest);
+  server_.timing(Timing::report, report);
+  server_.timing(Timing::report_wait, report);
+  server_.timing(Timing::link_again, link_rest);
   Nanos longest = 0, latest = 0;
   for (const OpType& type : types_) {
     longest = std::max(longest, type.op_timeout);
     latest = std::max(latest, type.target_latency); // what is started into a dead link for as long is lost
   }
-  server_.pace(Pace::link_silent, std::clamp(latest, silent_least, silent_most));
-  server_.pace(Pace::unread, longest); // nobody waits for it any more
-  server_.pace(Pace::link_leave, leave_rest);
-  server_.pace(Pace::leave_to_end, end_rest);
-  server_.pace(Pace::silent_close, idle_); // callers close after it themselves
-  server_.pace(Pace::first_word, first_word);
-  server_.when_full(full_order, strikes);
-  server_.pace(Pace::accept_again, accept_rest);
-  server_.pace(Pace::settle_stray, stray_rest);
+  server_.timing(Timing::link_silent, std::clamp(latest, silent_least, silent_most));
+  server_.timing(Timing::unread, longest); // nobody waits for it any more
+  server_.timing(Timing::link_leave, leave_rest);
+  server_.timing(Timing::leave_to_end, end_rest);
+  server_.timing(Timing::silent_close, idle_); // callers close after it themselves
+  server_.timing(Timing::first_word, first_word);
+  server_.when_full(full_order, penalties);
+  server_.timing(Timing::accept_again, accept_rest);
+  server_.timing(Timing::settle_stray, stray_rest);
   server_.health(true, true);
   server_.wake_at(now + tick, WakeId{1});
 }
@@ -346,7 +346,7 @@
     out.push_back(*worst);
     kept.erase(worst);
   }
-  for (Op* op : out) turn_away(now, *op, winnable(*op, now, last_sureness) ? Why::line : Why::hopeless);
+  for (Op* op : out) turn_away(now, *op, winnable(*op, now, last_sureness) ? Reason::line : Reason::hopeless);
 }
 
 // Runs at a call so short that they are back before another would get anywhere: they count under the cap.
@@ -378,7 +378,7 @@
   if (held_.empty()) return;
   if (stalled_) {
     const std::vector<Op*> line = held_;
-    for (Op* op : line) turn_away(now, *op, Why::stalled);
+    for (Op* op : line) turn_away(now, *op, Reason::stalled);
     held_since_ = 0;
     return;
   }
@@ -490,7 +490,7 @@
   if (back) {
     op.stage = Stage::held;
     held_.push_back(&op);
-    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(op, Why::fell_back);
+    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(op, Reason::fell_back);
     return;
   }
   forget(op);
@@ -510,7 +510,7 @@
 // the more of what comes has been nacked before (where that isn't marked: here). Guards against nacks that
 // only multiply reading and connecting where others are as full; harms where the few that have room are not
 // found by the first tries.
-void Choice::turn_away(Nanos now, Op& op, Why why) {
+void Choice::turn_away(Nanos now, Op& op, Reason why) {
   if (op.ran) return give_up(op, why);
   ++nacked_lately_;
   if (!stalled_) nacked_part_ += part_step;
@@ -526,12 +526,12 @@
 
 // Nacks a retryable op off the cores: its run is worth nothing here and may be made elsewhere.
 void Choice::send_on(Op& op) {
-  server_.nack(op.id, Why::hung, false, stay_away());
+  server_.nack(op.id, Reason::hung, false, stay_away());
   let_go(op);
 }
 
 // Fails an op wherever it stands. One on the cores is halted where that can be done, else it runs on unheard.
-void Choice::give_up(Op& op, Why why) {
+void Choice::give_up(Op& op, Reason why) {
   server_.fail(op.id, why);
   let_go(op);
 }
@@ -554,9 +554,9 @@
     if (!op.answered && op.due <= now + 2 * tick) late.push_back(&op);
   for (Op* op : late) {
     if (op->stage == Stage::held && !op->ran && op->earlier == no_op)
-      turn_away(now, *op, Why::due);
+      turn_away(now, *op, Reason::due);
     else
-      give_up(*op, Why::due);
+      give_up(*op, Reason::due);
   }
 }
 
@@ -592,7 +592,7 @@
   if (first != ops_.end() && first->second.stage == Stage::held && !first->second.ran) {
     if (types_[op.type.raw].repeats == Repeats::retryable) return false;
     op.first_seen = std::min(op.first_seen, first->second.first_seen);
-    turn_away(now, first->second, Why::replaced);
+    turn_away(now, first->second, Reason::replaced);
     op.earlier = no_op;
     return false;
   }
@@ -651,7 +651,7 @@
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
     if (left <= 0 && type.repeats == Repeats::retryable && type.late_share == 0) {
-      give_up(*op, Why::late_at_call);
+      give_up(*op, Reason::late_at_call);
       continue;
     }
     const bool skippable = type.without_share > 0 && left > 0;
@@ -675,7 +675,7 @@
       join_core(now, *op);
       server_.answer_without(op->id);
     } else if (op->call_may_have_run) {
-      give_up(*op, Why::call_lost);
+      give_up(*op, Reason::call_lost);
     }
   }
 }
@@ -908,13 +908,13 @@
   // Before the keys: a repeat that waits for its first takes memory too, and may not be nacked if that has
   // run.
   if (memory_with(0) > memory_part * memory_limit_)
-    return earlier != no_op ? give_up(op, Why::memory) : turn_away(now, op, Why::memory);
+    return earlier != no_op ? give_up(op, Reason::memory) : turn_away(now, op, Reason::memory);
   if (earlier != no_op && reuse_earlier(now, op)) return;
   // A big op that is likelier than not to be late on these cores is better off on faster ones. Only first
   // tries are sent on, so that none is sent round, and only where further tries are told from them.
   if (marks_again_ && !again && hint > 0 && !winnable(op, now, sent_on_sureness) &&
       now + run_time(op, sent_on_sureness) / faster_elsewhere <= win_by(op)) {
-    return turn_away(now, op, Why::too_big);
+    return turn_away(now, op, Reason::too_big);
   }
   admit(now, op);
 }
@@ -932,9 +932,9 @@
 // Nacks an op or puts it into the hold.
 void Choice::admit(Nanos now, Op& op) {
   const OpType& type = types_[op.type.raw];
-  if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op, Why::leaving);
+  if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op, Reason::leaving);
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && op.key != no_key;
-  if (type.repeats == Repeats::keyed && !keep(now, op)) return turn_away(now, op, Why::key_memory);
+  if (type.repeats == Repeats::keyed && !keep(now, op)) return turn_away(now, op, Reason::key_memory);
   if (shared && memory_with(key_kb_) < shared_part * memory_limit_) {
     keys_[op.id] = op.due + fresh_for_;
     op.kept = true;
@@ -1014,9 +1014,9 @@
   settle(now);
   tell(now);
   // Past the delay nothing more is served: callers that are told so, or get no connection, lose no time here.
-  if (drained_at_ >= 0 && now > serve_until_ && !doors_closed_) {
-    doors_closed_ = true;
-    server_.close_doors();
+  if (drained_at_ >= 0 && now > serve_until_ && !stopped_accepting_) {
+    stopped_accepting_ = true;
+    server_.stop_accepting();
   }
   server_.wake_at(now + tick, WakeId{1});
 }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -5,8 +5,8 @@
 #include "histogram.hpp"
 #include "ids.hpp"
 #include "pcg.hpp"
+#include "reason.hpp"
 #include "state.hpp"
-#include "why.hpp"
 
 #include <map>
 #include <span>
@@ -16,7 +16,7 @@
 namespace cometshift {
 
 // What a server on sockets does by itself now and then, or waits for.
-enum class Pace {
+enum class Timing {
   report,       // between reports to the list of servers
   report_wait,  // for the reply to a report, before it is made anew
   link_again,   // before the link to the machine is made anew
@@ -31,15 +31,15 @@
 };
 
 // Whose connection goes where no more can be held; the longest silent first.
-enum class Way { unheard, idle, newest };
+enum class Eviction { mute, idle, newest };
 
 // What a server can be told to do.
 class Server {
  public:
   virtual ~Server() = default;
   virtual void run(OpId op) = 0; // start a held op, or resume one that was halted
-  virtual void nack(OpId op, Why why, bool no_retry, Nanos stay_away) = 0;
-  virtual void fail(OpId op, Why why) = 0; // a final answer that promises nothing
+  virtual void nack(OpId op, Reason why, bool no_retry, Nanos stay_away) = 0;
+  virtual void fail(OpId op, Reason why) = 0; // a final answer that promises nothing
   virtual void call(OpId op, Nanos time_out) = 0;
   virtual void answer_without(OpId op) = 0; // go on without the call
   virtual void keep_key(OpId op, Nanos lifetime) = 0;
@@ -52,9 +52,10 @@
   virtual void wake_at(Nanos at, WakeId name) = 0;
   virtual void log(std::string_view words) = 0;
   // Only for servers on sockets.
-  virtual void pace(Pace, Nanos) {}
-  virtual void when_full(std::span<const Way> /*order*/, int /*strikes*/) {} // strikes: ops no caller sends
-  virtual void close_doors() {} // no new ops on any connection, and no new connections
+  virtual void timing(Timing, Nanos) {}
+  virtual void when_full(std::span<const Eviction> /*order*/, int /*penalties*/) {
+  }                                // penalties: for ops no caller sends
+  virtual void stop_accepting() {} // no new ops on any connection, and no new connections
 };
 
 // The figures that a decision on one op rests on; spans in ns.
@@ -143,9 +144,9 @@
   void leave_next(Op& op);
   void after_run(Nanos now, Op& op, Outcome outcome, Nanos lag);
   // Final answers.
-  void turn_away(Nanos now, Op& op, Why why);
+  void turn_away(Nanos now, Op& op, Reason why);
   void send_on(Op& op);
-  void give_up(Op& op, Why why);
+  void give_up(Op& op, Reason why);
   void let_go(Op& op);
   void overdue(Nanos now);
   void forget(Op& op);
@@ -263,7 +264,7 @@
   Nanos drained_at_ = -1; // -1: not told to leave
   Nanos serve_until_ = 0;
   Nanos answer_by_ = 0;
-  bool doors_closed_ = false;
+  bool stopped_accepting_ = false;
 };
 
 } // namespace cometshift
--- a/src/why.hpp
+++ b/src/reason.hpp
@@ -9,7 +9,7 @@
 
 namespace cometshift {
 
-enum class Why : std::uint8_t {
+enum class Reason : std::uint8_t {
   none = 0,
   leaving = 1,        // came after the end of the delay before the stop
   memory = 2,         // its memory does not fit
@@ -34,36 +34,36 @@
   ceiling = 48,       // its pool has had as much as it may have
 };
 
-struct WhyWord {
-  Why why;
+struct ReasonWord {
+  Reason why;
   std::string_view word;
 };
-constexpr std::array why_words{
-    WhyWord{Why::none, "none"},
-    WhyWord{Why::leaving, "leaving"},
-    WhyWord{Why::memory, "memory"},
-    WhyWord{Why::key_memory, "key-memory"},
-    WhyWord{Why::too_big, "too-big"},
-    WhyWord{Why::hopeless, "hopeless"},
-    WhyWord{Why::line, "line"},
-    WhyWord{Why::stalled, "stalled"},
-    WhyWord{Why::hung, "hung"},
-    WhyWord{Why::due, "due"},
-    WhyWord{Why::replaced, "replaced"},
-    WhyWord{Why::late_at_call, "late-at-call"},
-    WhyWord{Why::call_lost, "call-lost"},
-    WhyWord{Why::fell_back, "fell-back"},
-    WhyWord{Why::too_many_ops, "too-many-ops"},
-    WhyWord{Why::too_many_keys, "too-many-keys"},
-    WhyWord{Why::known, "known"},
-    WhyWord{Why::other_mark, "other-mark"},
-    WhyWord{Why::run_failed, "run-failed"},
-    WhyWord{Why::never_begun, "never-begun"},
-    WhyWord{Why::first_failed, "first-failed"},
-    WhyWord{Why::ceiling, "ceiling"},
+constexpr std::array reason_words{
+    ReasonWord{Reason::none, "none"},
+    ReasonWord{Reason::leaving, "leaving"},
+    ReasonWord{Reason::memory, "memory"},
+    ReasonWord{Reason::key_memory, "key-memory"},
+    ReasonWord{Reason::too_big, "too-big"},
+    ReasonWord{Reason::hopeless, "hopeless"},
+    ReasonWord{Reason::line, "line"},
+    ReasonWord{Reason::stalled, "stalled"},
+    ReasonWord{Reason::hung, "hung"},
+    ReasonWord{Reason::due, "due"},
+    ReasonWord{Reason::replaced, "replaced"},
+    ReasonWord{Reason::late_at_call, "late-at-call"},
+    ReasonWord{Reason::call_lost, "call-lost"},
+    ReasonWord{Reason::fell_back, "fell-back"},
+    ReasonWord{Reason::too_many_ops, "too-many-ops"},
+    ReasonWord{Reason::too_many_keys, "too-many-keys"},
+    ReasonWord{Reason::known, "known"},
+    ReasonWord{Reason::other_mark, "other-mark"},
+    ReasonWord{Reason::run_failed, "run-failed"},
+    ReasonWord{Reason::never_begun, "never-begun"},
+    ReasonWord{Reason::first_failed, "first-failed"},
+    ReasonWord{Reason::ceiling, "ceiling"},
 };
-constexpr std::string_view word_of(Why why) {
-  for (const WhyWord& one : why_words)
+constexpr std::string_view word_of(Reason why) {
+  for (const ReasonWord& one : reason_words)
     if (one.why == why) return one.word;
   return "unknown";
 }
--- a/src/remember.cpp
+++ b/src/remember.cpp
@@ -77,7 +77,7 @@
   }
   keeper(silences_, idle_told_, openness_, told_, read_, read_lately_, nacked_lately_, unread_lately_,
          reading_, nacked_part_, again_part_, nacked_rank_, counted_from_, drained_at_, serve_until_,
-         answer_by_, doors_closed_);
+         answer_by_, stopped_accepting_);
 }
 
 template void Choice::remember(Writer& keeper);
--- a/tests/announce.cpp
+++ b/tests/announce.cpp
@@ -1,5 +1,5 @@
 #include "announce.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 #include <asio/io_context.hpp>
 
--- a/tests/breaker.cpp
+++ b/tests/breaker.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s;
+  Driver s;
   s.say("five failures in a row and no more calls");
   s.read(1);
   s.wants_call(1);
@@ -19,7 +19,7 @@
   s.called(1);
   s.read(3);
   s.to(2000);
-  Scene t;
+  Driver t;
   t.say("a trial whose run ends is no trial any more: the next is made");
   t.read(1), t.wants_call(1);
   t.read(2);
--- a/tests/callers.cpp
+++ b/tests/callers.cpp
@@ -1,9 +1,9 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 #include <cmath>
 
 // More ops than can be served, with so many cores wanted besides the runs for reading.
-static void crowd(Scene& s, double wanted, Nanos waited, int ops, unsigned callers = 0) {
+static void crowd(Driver& s, double wanted, Nanos waited, int ops, unsigned callers = 0) {
   static unsigned id = 1;
   s.quiet = true;
   s.gauges(1, wanted);
@@ -18,7 +18,7 @@
 }
 
 int main() {
-  Scene s({{"say", std::string("level")}});
+  Driver s({{"say", std::string("level")}});
   s.say("nine in ten nacked, but reading them takes next to nothing: callers may go on asking");
   crowd(s, 2, 0, 4);
   s.say("reading takes half of the cores: a level, never above the mean rank of what is nacked (0.5)");
@@ -28,19 +28,19 @@
   s.quiet = false;
   s.say("all is over: it comes down again");
   s.after(4500);
-  Scene t({{"say", std::string("tokens")}});
+  Driver t({{"say", std::string("tokens")}});
   t.say("tokens: long unread, though nothing is nacked; one caller sends nine in ten, so few share them");
   crowd(t, 4, 600, 1);
   t.say("and none at all once it is to leave");
   t.drain(3000);
-  Scene f({{"say", std::string("tokens")}});
+  Driver f({{"say", std::string("tokens")}});
   f.say("forty callers in turn, ten ops a second: only ten remember what they were told");
   crowd(f, 4, 600, 1, 40);
-  Scene b({{"say", std::string("bias")}});
+  Driver b({{"say", std::string("bias")}});
   b.say("bias");
   b.drain(3000);
   for (const double callers : {20.0, 500.0}) {
-    Scene c({{"callers", callers}, {"idle_ns", 30e9}});
+    Driver c({{"callers", callers}, {"idle_ns", 30e9}});
     c.say("callers in turn, each silent for as many tenths of a second: rare ones are closed soon");
     for (unsigned id = 1; id < 80; ++id) {
       c.quiet = true;
@@ -50,7 +50,7 @@
       c.after(100);
     }
   }
-  Scene n;
+  Driver n;
   n.say("nothing may be told");
   n.drain(3000);
 }
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -1,10 +1,10 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s({{"call_share", 2.0},
-           {"calls_over_ns", 1e9},
-           {"call_linger_ns", 3e8},
-           {"op_type.0.without_share", 0.5}});
+  Driver s({{"call_share", 2.0},
+            {"calls_over_ns", 1e9},
+            {"call_linger_ns", 3e8},
+            {"op_type.0.without_share", 0.5}});
   s.say("no more calls in hand than this server's share; an answer without the call where that is worth "
         "something");
   for (unsigned id = 1; id <= 3; ++id) {
@@ -19,7 +19,7 @@
   s.say("a call given up stays in the hands of what lies below for a while: the third waits");
   s.called(2, Outcome::timed_out);
   s.to(500);
-  Scene k;
+  Driver k;
   k.say("a keyed op calls again if the call is known not to have run, else it is failed at once");
   k.read(1, {.type = 1});
   k.wants_call(1);
@@ -31,12 +31,12 @@
   k.wants_call(2);
   k.called(2, Outcome::cut);
   k.after(40);
-  Scene n({{"below", std::string("next_hop")}});
+  Driver n({{"below", std::string("next_hop")}});
   n.say("where a balancer picks another of several, at once");
   n.read(3);
   n.wants_call(3);
   n.called(3, Outcome::shed);
-  Scene m({{"call_share", 0.9}, {"calls_over_ns", 5e9}, {"call_linger_ns", 2e8}});
+  Driver m({{"call_share", 0.9}, {"calls_over_ns", 5e9}, {"call_linger_ns", 2e8}});
   m.say("a share with no room for a call of four seconds: once calls are known to be short, a short one");
   for (unsigned id = 1; id <= 9; ++id) {
     m.read(id);
@@ -49,10 +49,10 @@
   m.wants_call(10);
   m.read(11);
   m.wants_call(11);
-  Scene w({{"call_share", 2.0},
-           {"calls_over_ns", 1e9},
-           {"op_type.0.without_share", 0.5},
-           {"op_type.0.target_latency_ns", 4e8}});
+  Driver w({{"call_share", 2.0},
+            {"calls_over_ns", 1e9},
+            {"op_type.0.without_share", 0.5},
+            {"op_type.0.target_latency_ns", 4e8}});
   w.say("calls that filled the window count until they have left it: the seventh, a long one, waits");
   for (unsigned id = 1; id <= 6; ++id) {
     w.read(id, {.patience = 300});
@@ -66,7 +66,7 @@
   w.read(7, {.type = 1, .patience = 1200});
   w.wants_call(7);
   w.to(1300);
-  Scene e({{"call_share", 1.0}, {"calls_over_ns", 1e9}, {"call_linger_ns", 3e8}});
+  Driver e({{"call_share", 1.0}, {"calls_over_ns", 1e9}, {"call_linger_ns", 3e8}});
   e.say("the call of an op that has ended meanwhile is given up, not gone");
   e.read(1);
   e.wants_call(1);
@@ -74,7 +74,7 @@
   e.read(2);
   e.wants_call(2);
   e.to(700);
-  Scene q({{"call_share", 10.0}, {"cores", 40.0}, {"memory_kb", 1e6}});
+  Driver q({{"call_share", 10.0}, {"cores", 40.0}, {"memory_kb", 1e6}});
   q.say("calls slow each other: fewer are in hand at once");
   q.learn(100, 100, 20, 10);
   const auto asks = [&](unsigned from, unsigned to) {
@@ -89,7 +89,7 @@
   q.say("no op starts into a line of calls that long");
   q.read(51, {.type = 1});
   q.after(100);
-  Scene r;
+  Driver r;
   r.say("a reply that never comes: asked again in some usual times while calls get lost and are quick");
   r.learn(100, 100, 20, 10);
   r.read(1);
--- a/tests/cap.cpp
+++ b/tests/cap.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 // Keeps ops coming, with runs of `length`, and says how many ran at once in the end.
-static void serve(Scene& s, int count, Nanos length) {
+static void serve(Driver& s, int count, Nanos length) {
   static unsigned id = 100;
   std::size_t at_once = 0;
   s.quiet = true;
@@ -17,10 +17,10 @@
 }
 
 int main() {
-  Scene s({{"op_type.0.target_latency_ns", 2e10},
-           {"op_type.0.op_timeout_ns", 4e10},
-           {"op_type.1.target_latency_ns", 2e10},
-           {"op_type.1.op_timeout_ns", 4e10}});
+  Driver s({{"op_type.0.target_latency_ns", 2e10},
+            {"op_type.0.op_timeout_ns", 4e10},
+            {"op_type.1.target_latency_ns", 2e10},
+            {"op_type.1.op_timeout_ns", 4e10}});
   s.say("as many as there are cores run at first; busy cores don't let it grow");
   for (unsigned id = 1; id <= 7; ++id) s.read(id, {.type = id % 2});
   s.to(700);
@@ -36,7 +36,7 @@
   s.say("free, with ops held, and runs end: it grows");
   s.ended(2);
   s.to(1500);
-  Scene t;
+  Driver t;
   t.say("cut while latency stays at twice its base and the cores read busy, not below the cores");
   serve(t, 40, 60);
   t.gauges(0.3, 0);
@@ -46,7 +46,7 @@
   serve(t, 12, 200);
   serve(t, 30, 200);
   for (const Nanos length : {5, 200}) {
-    Scene c;
+    Driver c;
     c.learn(400, 400, 20, length);
     c.say("runs of 400 ms, calls of " + std::to_string(length) +
           ": 3 starts during a call only if that is long");
--- a/tests/capacity.cpp
+++ b/tests/capacity.cpp
@@ -1,7 +1,7 @@
 // The three estimators of capacity on the same machine: told at first nothing, then cold, warm, at half
 // speed, and back.
 #include "capacity.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 #include <algorithm>
 
--- a/tests/clock.cpp
+++ b/tests/clock.cpp
@@ -1,6 +1,6 @@
 // The server's clock while the system's is set back and forward, and a recording across it.
 #include "clock.hpp"
-#include "theatre.hpp"
+#include "recorded_core.hpp"
 
 int main() {
   say("one time a turn, however often it is asked for; set back, it stands and goes on from there");
@@ -23,7 +23,7 @@
   system -= 60 * second, turn("and back again");
 
   say("a recording across a clock that is set back: no time in it goes back, and it replays");
-  Theatre s;
+  RecordedCore s;
   s.record();
   s.link();
   Clock of_server;
--- a/tests/configuration.cpp
+++ b/tests/configuration.cpp
@@ -1,5 +1,5 @@
 #include "configuration.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 const std::string whole = R"({"name":"n3","listen":"127.0.0.1:5050","vm":"127.0.0.1:7300",
 "announce":"127.0.0.1:2379","records":"127.0.0.1:5432","seed":"8c1f30d27a5be964","stop_ms":3200,
--- a/tests/crowd.cpp
+++ b/tests/crowd.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 // How many are started when all go to wait at a call as soon as they run.
-static void crowd(Scene& s, unsigned id) {
+static void crowd(Driver& s, unsigned id) {
   s.quiet = true;
   for (int i = 0; i < 20; ++i, ++id) {
     s.read(id, {.kb = 1});
@@ -11,10 +11,10 @@
 }
 
 int main() {
-  Scene s;
+  Driver s;
   s.say("those waiting at calls are not under the cap, but with the running ones under the survivable crowd");
   crowd(s, 1);
-  Scene c({{"cold", 1.0}, {"cold_from", 0.2}, {"warm_after_ns", 10e9}});
+  Driver c({{"cold", 1.0}, {"cold_from", 0.2}, {"warm_after_ns", 10e9}});
   c.say("cold: fewer");
   crowd(c, 1);
 }
--- a/tests/drain.cpp
+++ b/tests/drain.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s;
+  Driver s;
   s.say("ops run before the notice and through the shutdown delay");
   s.read(1);
   s.to(100);
@@ -19,14 +19,14 @@
   s.read(5);
   s.say("all is answered before the kill at 3100, the run that goes on too");
   s.to(3100);
-  Scene late;
+  Driver late;
   late.say("one that arrived in time may be refused but not run once the delay is over");
   late.read(7, {.type = 1});
   late.drain(200);
   late.to(150);
   late.read(6, {.waited = 140});
   late.to(200);
-  Scene still;
+  Driver still;
   still.say("the process stands still from before the notice: the delay and the kill count from when it may "
             "have come");
   still.to(100);
--- a/tests/scene.hpp
+++ b/tests/driver.hpp
@@ -1,4 +1,4 @@
-// What tests print for comparison with a kept trace: the decisions of one Choice that a Scene drives alone,
+// What tests print for comparison with a kept trace: the decisions of one Choice that a Driver drives alone,
 // and what a Peer, an end of a connection that the test plays itself, hears from the code for sockets.
 #pragma once
 
@@ -38,7 +38,7 @@
   Nanos hint = 0; // ms
 };
 
-class Scene final : public Server {
+class Driver final : public Server {
   std::unique_ptr<Choice> choice_;
   Nanos now_ = 0;
   Nanos wake_ = 0;
@@ -75,8 +75,8 @@
   double told = -1;
 
   // Two cores, a retryable type 0 and a keyed type 1; what `more` names is changed or added.
-  explicit Scene(std::initializer_list<Given::value_type> more = {},
-                 std::initializer_list<const char*> without = {}) {
+  explicit Driver(std::initializer_list<Given::value_type> more = {},
+                  std::initializer_list<const char*> without = {}) {
     Given given{{"cores", 2.0},
                 {"fall_multiple", 4.0},
                 {"memory_kb", 10000.0},
@@ -102,17 +102,17 @@
     if (!healthy_) emit("no stored health");
   }
 
-  ~Scene() override { end(); }
+  ~Driver() override { end(); }
   static void end() {
     if (open_) std::puts("");
     open_ = false;
   }
 
   void run(OpId op) override { running.insert(op), emit("run", of(op)); }
-  void nack(OpId op, Why, bool no_retry, Nanos) override {
+  void nack(OpId op, Reason, bool no_retry, Nanos) override {
     emit(no_retry ? "nack for good" : "nack", of(op));
   }
-  void fail(OpId op, Why) override { emit("fail", of(op)); }
+  void fail(OpId op, Reason) override { emit("fail", of(op)); }
   void call(OpId op, Nanos time_out) override { emit("call", of(op) + span(time_out)); }
   void answer_without(OpId op) override { emit("answer without", of(op)); }
   void keep_key(OpId op, Nanos life) override { emit("keep", of(op) + span(life)); }
--- a/tests/due.cpp
+++ b/tests/due.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s;
+  Driver s;
   s.say("a run, a parked call and a call that does not end are failed by their due times");
   s.read(1, {.type = 1});
   s.read(2);
@@ -16,11 +16,11 @@
   s.ended(3);
   s.read(4);
   s.read(5);
-  Scene p({{"halt", std::string("pause")}});
+  Driver p({{"halt", std::string("pause")}});
   p.say("where a run can be stopped it is");
   p.read(1, {.type = 1});
   p.to(4100);
-  Scene g({{"halt", std::string("drop")}});
+  Driver g({{"halt", std::string("drop")}});
   g.say("and so it is when its caller has gone");
   g.read(2);
   g.gone(2);
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -1,7 +1,7 @@
 // Every way in which the front ends a connection, with bytes that arrive in that very instant: what was read
 // is answered, what was not is never taken for an op, and no reset takes what the peer has yet to read.
+#include "driver.hpp"
 #include "front.hpp"
-#include "scene.hpp"
 
 #include <asio/io_context.hpp>
 
@@ -28,7 +28,7 @@
 
   Bench() {
     front.accept_again(ms);
-    front.when_full({Way::unheard, Way::idle, Way::newest}, 8);
+    front.when_full({Eviction::mute, Eviction::idle, Eviction::newest}, 8);
     front.leave_to_end(second / 2);
     front.first_word(3 * second / 2);
     front.unread(4 * second);
@@ -102,7 +102,7 @@
   crossing("the same, more than its buffers hold at once", std::string(100'000, 'x'), idle);
   crossing("the listener closes, as in a drain: a request as its last connections end", request,
            [](Bench& b, Peer&) {
-             b.front.close_doors();
+             b.front.stop_accepting();
              b.turn();
              b.pass(second / 2);
            });
@@ -196,7 +196,7 @@
       waiting.back().slip_in(request);
     }
     Peer::turn = [&b] { b.turn(); };
-    b.front.close_doors();
+    b.front.stop_accepting();
     std::printf("  %zu ops read\n", b.told.lines.size());
     for (const Line line : b.told.lines) b.front.refused(line, 0, false);
     b.turn();
@@ -219,7 +219,7 @@
     Bench b;
     std::vector<Peer> deaf;
     for (int i = 0; i < 10; ++i) deaf.push_back(b.answered());
-    b.front.close_doors();
+    b.front.stop_accepting();
     b.turn();
     b.pass(second / 2);
     std::printf("  %zu connections, closed: %d\n", b.front.connections(), b.front.closed());
--- a/tests/frames.cpp
+++ b/tests/frames.cpp
@@ -1,5 +1,5 @@
+#include "driver.hpp"
 #include "hex.hpp"
-#include "scene.hpp"
 
 void show(const char* what, const std::string& bytes) {
   std::printf("%-10s", what);
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -1,5 +1,5 @@
 #include "front.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 #include <asio/io_context.hpp>
 #include <sys/resource.h>
@@ -34,7 +34,7 @@
               told};
   Bench() {
     front.accept_again(ms);
-    front.when_full({Way::unheard, Way::idle, Way::newest}, 4000);
+    front.when_full({Eviction::mute, Eviction::idle, Eviction::newest}, 4000);
     front.leave_to_end(second);
     Peer::turn = [this] {
       io.restart();
@@ -267,7 +267,7 @@
     const Line crossing = b.asked(late, ask(2, txn));
     b.now += second;
     Peer::turn();
-    b.front.when_full({Way::newest}, 3);
+    b.front.when_full({Eviction::newest}, 3);
     std::vector<Line> past; // three that may have been on the way are read and answered, a fourth is not
     for (std::uint32_t i = 3; i < 6; ++i) past.push_back(b.asked(late, ask(i, txn)));
     const std::size_t read = b.told.lines.size();
@@ -290,7 +290,7 @@
   const Line line = b.asked(good, ask(++stream, txn));
   const auto turn = std::exchange(Peer::turn, [] {});
   Peer waiting = Peer::to(5050); // connected, and not accepted yet
-  b.front.close_doors();
+  b.front.stop_accepting();
   Peer::turn = turn;
   heard(waiting), heard(good);
   std::printf("  closed: %d\n", b.front.closed());
--- a/tests/hold.cpp
+++ b/tests/hold.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s;
+  Driver s;
   s.learn(400, 400);
   s.say("two run; what can begin soon enough is held, and where the line is too long the least important "
         "leaves");
@@ -14,11 +14,11 @@
   s.ended(2);
   s.say("one that waited long to be read is over");
   s.read(90, {.waited = 1900});
-  Scene t({{"tenant.0.quota", 2.0}, {"tenant.1.quota", 50.0}, {"over_share_worth", 0.1}});
+  Driver t({{"tenant.0.quota", 2.0}, {"tenant.1.quota", 50.0}, {"over_share_worth", 0.1}});
   t.learn(400, 400);
   t.say("a tenant far over its share leaves first");
   for (unsigned id = 1; id <= 13; ++id) t.read(id, {.tenant = id >= 6 ? 0U : 1U});
-  Scene u({{"marks_retry", 1.0}});
+  Driver u({{"marks_retry", 1.0}});
   u.learn(400, 400);
   u.say("further tries (3 and 5) are asked not to go on elsewhere; with many of them about, first ones too");
   for (unsigned id = 1; id <= 12; ++id) u.read(id, {.again = id == 3 || id == 5});
@@ -26,7 +26,7 @@
   for (unsigned id = 11; id <= 40; ++id) u.read(id, {.again = true});
   u.quiet = false;
   u.read(41);
-  Scene v;
+  Driver v;
   v.learn(100, 1200);
   v.quiet = true;
   for (unsigned id = 1; id <= 60; ++id) v.read(id);
@@ -37,7 +37,7 @@
       "short ones run and nacks are not rare; a long one (12 times theirs) waits for them, not for its like");
   v.read(63, {.type = 1});
   v.ended(61);
-  Scene w({{"marks_retry", 1.0}});
+  Driver w({{"marks_retry", 1.0}});
   w.quiet = true;
   for (unsigned id = 1; id <= 20; ++id)
     w.read(id, {.hint = 100}), w.after(200), w.ended(id, Outcome::done, 200);
--- a/tests/keeping.cpp
+++ b/tests/keeping.cpp
@@ -1,6 +1,6 @@
 // What decides for a recording, alone: segments, gaps and trials, files that go.
 #include "keeping.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
   const auto say = [](const char* what) { std::printf("# %s\n", what); };
--- a/tests/keys.cpp
+++ b/tests/keys.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s;
+  Driver s;
   s.say("kept to the end of its window, counted from its arrival");
   s.read(1, {.type = 1, .waited = 40});
   s.read(2, {.type = 1});
@@ -23,14 +23,14 @@
   s.read(9, {.type = 1});
   s.read(10, {.type = 1, .patience = 100});
   s.to(800);
-  Scene w({{"op_type.1.key_window_ns", 1e9}});
+  Driver w({{"op_type.1.key_window_ns", 1e9}});
   w.say("two tries of one op lay unread for longer than their window: the first is kept all the same");
   w.to(2000);
   w.read(1, {.type = 1, .waited = 1500});
   w.read(2, {.type = 1, .waited = 700, .earlier = OpId{1}});
   w.to(2100);
   w.ended(1);
-  Scene h({{"halt", std::string("drop")}});
+  Driver h({{"halt", std::string("drop")}});
   h.say("one that fell back into the hold has run: retryable it may again, keyed it is failed, not nacked");
   h.read(1);
   h.ended(1, Outcome::halted);
@@ -41,7 +41,7 @@
   h.to(1990);
   h.ended(1, Outcome::halted);
   h.to(2100);
-  Scene f({{"fresh_for_ns", 1e9}});
+  Driver f({{"fresh_for_ns", 1e9}});
   f.say("reads of one key share an answer where that is fresh for a while");
   f.read(1, {.key = 5});
   f.read(2, {.key = 5, .earlier = OpId{1}});
--- a/tests/lasting.cpp
+++ b/tests/lasting.cpp
@@ -57,7 +57,7 @@
     const Counted as_test(false);
     Place::served(l, op, std::move(c));
   }
-  void failed(Line l, OpId op, Why why) override {
+  void failed(Line l, OpId op, Reason why) override {
     const Counted as_test(false);
     Place::failed(l, op, why);
   }
--- a/tests/link.cpp
+++ b/tests/link.cpp
@@ -1,5 +1,5 @@
+#include "driver.hpp"
 #include "interpreter.hpp"
-#include "scene.hpp"
 
 #include <asio/io_context.hpp>
 #include <sys/resource.h>
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -1,7 +1,7 @@
 // The sockets between servers of a fleet: a member, and others that the test plays itself, good and bad.
 #include "links.hpp"
 
-#include "scene.hpp"
+#include "driver.hpp"
 
 #include <asio/io_context.hpp>
 
--- a/tests/many.cpp
+++ b/tests/many.cpp
@@ -2,9 +2,9 @@
 // something late, mute, refused or silent beside it; what thirty cold ones do together to one service below;
 // idle clients that fill every descriptor while the list is down. Usage: many PROGRAM; prints what held.
 #include "child.hpp"
+#include "driver.hpp"
 #include "histogram.hpp"
 #include "party.hpp"
-#include "scene.hpp"
 #include "site.hpp"
 
 #include <csignal>
--- a/tests/pause.cpp
+++ b/tests/pause.cpp
@@ -1,9 +1,9 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s({{"halt", std::string("pause")},
-           {"op_type.1.repeats", std::string("retryable")},
-           {"op_type.1.target_latency_ns", 500e6}});
+  Driver s({{"halt", std::string("pause")},
+            {"op_type.1.repeats", std::string("retryable")},
+            {"op_type.1.target_latency_ns", 500e6}});
   s.learn(400, 100, 40);
   s.say("two long runs with time to spare; a short one is held, and gets a core once its own time runs out");
   s.read(1, {.kb = 900});
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -1,6 +1,6 @@
 // Peers: what one member orders, step by step; its words as bytes; and how often silence is wrongly taken for
 // the end of a member, by fixed time-outs and by a rival that learns.
-#include "company.hpp"
+#include "printed_peers.hpp"
 
 #include "pcg.hpp"
 
@@ -20,12 +20,12 @@
 const std::vector<MemberId> three{MemberId{1}, MemberId{2}, MemberId{3}};
 void say(const char* what) { std::printf("# %s\n", what); }
 
-struct Scene {
+struct Driver {
   PrintedPeers out;
   Voters voting;
   Peers peers;
   Nanos now = 0;
-  explicit Scene(std::vector<MemberId> others = three, std::vector<MemberId> voters = three)
+  explicit Driver(std::vector<MemberId> others = three, std::vector<MemberId> voters = three)
       : voting(0, MemberId{1}, {Epoch{1}, {voters.begin(), voters.end()}, {}}, ms),
         peers(0, speaker_of(1, 0), std::move(others), voting, figures(), 1, out) {}
   void to(Nanos time) { // with every wake-up on the way
@@ -53,7 +53,7 @@
   {
     say("dialled at once; the newest word about a matter takes the place of the one before; one letter at a "
         "time");
-    Scene s(two, two);
+    Driver s(two, two);
     s.to(0);
     s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::ask(Epoch{1}, "t", AskNo{1}, Token{5}, ms));
     s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
@@ -78,7 +78,7 @@
   }
   {
     say("one that takes nothing: hung up after the time of silence, dialled again after rests that grow");
-    Scene s(two, two);
+    Driver s(two, two);
     s.out.words_too = false;
     s.to(0);
     s.peers.connected(0, MemberId{2});
@@ -96,7 +96,7 @@
   {
     say("silent, and heard again: dialled at once; deaf where it is heard and answers nothing; left where it "
         "says so");
-    Scene s(two, two);
+    Driver s(two, two);
     s.out.words_too = false;
     s.to(0);
     s.peers.connected(0, MemberId{2});
@@ -120,7 +120,7 @@
   {
     say("a letter that comes twice, or after a later one; one of another life of the member; two lives by "
         "turns");
-    Scene s(two, two);
+    Driver s(two, two);
     s.out.quiet = true;
     s.to(0);
     s.out.quiet = false;
@@ -137,7 +137,7 @@
   }
   {
     say("who does not vote dials voters only; a voter dials whom it hears, and forgets who is gone for long");
-    Scene member({MemberId{2}, MemberId{3}}, {MemberId{2}});
+    Driver member({MemberId{2}, MemberId{3}}, {MemberId{2}});
     member.to(0);
     member.heard(3, 1, 0);
     member.to(50);
@@ -146,7 +146,7 @@
     member.out.quiet = false;
     std::printf("  hears no voter any more:\n");
     member.to(1200);
-    Scene voter({MemberId{2}, MemberId{3}}, {MemberId{1}});
+    Driver voter({MemberId{2}, MemberId{3}}, {MemberId{1}});
     voter.to(0);
     voter.heard(3, 1, 0);
     voter.to(50);
@@ -164,7 +164,7 @@
   }
   {
     say("leaving: it is said once more to all, and nobody is dialled any more");
-    Scene s(two, two);
+    Driver s(two, two);
     s.to(0);
     s.peers.connected(0, MemberId{2});
     s.to(0);
--- a/tests/place.hpp
+++ b/tests/place.hpp
@@ -157,12 +157,12 @@
   }
 
   void served(Line, OpId, Content) override { ++acked; }
-  void refused(Line, OpId, Why, Nanos, bool) override { ++nacked; }
-  void failed(Line, OpId op, Why) override {
+  void refused(Line, OpId, Reason, Nanos, bool) override { ++nacked; }
+  void failed(Line, OpId op, Reason) override {
     ++failed_ops;
     end_at_call(op);
   }
-  void strike(Line) override {}
+  void penalize(Line) override {}
   void start(OpId op, OpTypeId, const Content&, StartNo) override {
     on_way.insert(op);
     after(hop + 10 * ms, [this, op] {
@@ -189,8 +189,8 @@
   void health(bool) override {}
   void tell_callers(double) override {}
   void idle_close(Nanos) override {}
-  void pace(Pace, Nanos) override {}
-  void when_full(std::span<const Way>, int) override {}
-  void close_doors() override {}
+  void timing(Timing, Nanos) override {}
+  void when_full(std::span<const Eviction>, int) override {}
+  void stop_accepting() override {}
   void note(const char*, std::string_view) override {}
 };
--- a/tests/pools.cpp
+++ b/tests/pools.cpp
@@ -1,6 +1,6 @@
 // Pools alone: floors, ceilings, the reserve, repeats, tenants; what comes back and when.
 #include "pools.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 namespace {
 
--- a/tests/recorded.cpp
+++ b/tests/recorded.cpp
@@ -1,11 +1,11 @@
 // Recordings of hard moments, each replayed: the decisions are printed, the replay has to be the same.
-#include "theatre.hpp"
+#include "recorded_core.hpp"
 
 namespace {
 
 // Two ops in one instant on a table with room for one more: who comes first decides.
 void same_instant(bool turned) {
-  Theatre s;
+  RecordedCore s;
   s.prints = true;
   s.record();
   s.link();
@@ -24,7 +24,7 @@
   {
     say("a repeat in the instant in which the first try's result comes, before it and behind it");
     for (const bool before : {true, false}) {
-      Theatre s;
+      RecordedCore s;
       s.prints = true;
       s.calls = 0;
       s.record();
@@ -45,7 +45,7 @@
   {
     say("a wake-up and an arrival at one time, in both orders");
     for (const bool arrival_first : {true, false}) {
-      Theatre s;
+      RecordedCore s;
       s.prints = true;
       s.record();
       s.link();
@@ -63,7 +63,7 @@
   }
   {
     say("a link that breaks behind starts, and is caught up: what may run twice is started again");
-    Theatre s;
+    RecordedCore s;
     s.prints = true;
     s.record();
     s.link();
@@ -80,7 +80,7 @@
   }
   {
     say("a reload in the middle changes nothing of what is replayed");
-    Theatre s;
+    RecordedCore s;
     s.record();
     s.link();
     for (std::uint64_t id = 1; id < 10; ++id) s.came(id), s.pass(15 * ms);
@@ -91,7 +91,7 @@
   }
   {
     say("the notice to leave with much held; what comes after the delay is nacked");
-    Theatre s;
+    RecordedCore s;
     s.record();
     s.link();
     for (std::uint64_t id = 1; id < 30; ++id) s.came(id, id % 2, "m" + std::to_string(id));
@@ -108,7 +108,7 @@
   {
     say("begun in the middle of a keyed op's run: its repeat after the beginning has the result of the run "
         "before it");
-    Theatre s;
+    RecordedCore s;
     s.link();
     for (std::uint64_t id = 100; id < 140; ++id) s.came(id), s.pass(30 * ms); // something is learnt
     s.came(1, 1, "m1");
@@ -124,7 +124,7 @@
   }
   {
     say("marks and subjects concealed: the same decisions; the marks are not in the file, nor are bodies");
-    Theatre s;
+    RecordedCore s;
     s.record({{"conceal", 1.0}});
     s.link();
     for (std::uint64_t id = 1; id < 20; ++id)
@@ -141,7 +141,7 @@
   {
     say("segments by size: each begins with what the one before ended with, the oldest go, the total is not "
         "passed");
-    Theatre s;
+    RecordedCore s;
     s.record({{"segment_bytes", 60'000.0}, {"total_bytes", 200'000.0}, {"conceal", 1.0}});
     s.link();
     std::size_t most = 0;
--- a/tests/theatre.hpp
+++ b/tests/recorded_core.hpp
@@ -74,7 +74,7 @@
   std::string why() const override { return why_; }
 };
 
-inline Given theatre_settings() {
+inline Given recorded_settings() {
   Given given{
       {"cores", 2.0},      {"fall_multiple", 4.0},  {"memory_kb", 4000.0},     {"run_factor", 4.0},
       {"key_kb", 2.0},     {"drain_grace_ns", 1e9}, {"fleet_size", 1.0},       {"callers", 3.0},
@@ -103,11 +103,11 @@
   return given;
 }
 
-class Theatre : public Orders {
+class RecordedCore : public Orders {
  public:
   Nanos now = 1'764'576'000 * second;
   Tape tape{*this};
-  Given given = theatre_settings();
+  Given given = recorded_settings();
   std::unique_ptr<Core> core;
   std::shared_ptr<Disk> disk = std::make_shared<Disk>();
   Nanos run_time = 40 * ms, call_time = 10 * ms; // of what runs from now on
@@ -117,7 +117,7 @@
   std::uint64_t answers = 0;
   std::vector<std::string> notes; // of the recording
 
-  explicit Theatre(std::uint64_t seed = 1) : chance(seed) {
+  explicit RecordedCore(std::uint64_t seed = 1) : chance(seed) {
     core = std::make_unique<Core>(now, given, tape);
     tape.bind(*core);
   }
@@ -226,15 +226,15 @@
     ++answers;
     say("served", op, ": " + result.bytes);
   }
-  void refused(Line, OpId op, Why why, Nanos, bool) override {
+  void refused(Line, OpId op, Reason why, Nanos, bool) override {
     ++answers;
     say("nacked", op, ", " + std::string(word_of(why)));
   }
-  void failed(Line, OpId op, Why why) override {
+  void failed(Line, OpId op, Reason why) override {
     ++answers;
     say("failed", op, ", " + std::string(word_of(why)));
   }
-  void strike(Line) override {}
+  void penalize(Line) override {}
   void start(OpId op, OpTypeId, const Content&, StartNo number) override {
     starts = number.raw;
     say("start", op);
@@ -263,9 +263,9 @@
   void health(bool) override {}
   void tell_callers(double) override {}
   void idle_close(Nanos) override {}
-  void pace(Pace, Nanos) override {}
-  void when_full(std::span<const Way>, int) override {}
-  void close_doors() override {}
+  void timing(Timing, Nanos) override {}
+  void when_full(std::span<const Eviction>, int) override {}
+  void stop_accepting() override {}
   void note(const char* kind, std::string_view words) override {
     if (std::string_view(kind) == "recording") notes.emplace_back(words);
   }
--- a/tests/recorded_faults.cpp
+++ b/tests/recorded_faults.cpp
@@ -1,6 +1,6 @@
 // Recordings on disks that fail, and files that are damaged: nothing that is decided changes, a gap is a gap,
 // and what can't be read is named.
-#include "theatre.hpp"
+#include "recorded_core.hpp"
 
 #include "format.hpp"
 #include "report.hpp"
@@ -11,7 +11,7 @@
 namespace {
 
 // A day of its own, the same each time; how many answers it gave.
-std::uint64_t play(Theatre& s, std::uint64_t ops = 300) {
+std::uint64_t play(RecordedCore& s, std::uint64_t ops = 300) {
   for (std::uint64_t id = 1; id <= ops; ++id)
     s.came(id, id % 3, "m" + std::to_string(id / 2)), s.pass(12 * ms),
         s.disk->stuck ? void() : s.tape.wait_written();
@@ -47,13 +47,13 @@
 int main() {
   std::uint64_t usual = 0;
   {
-    Theatre s;
+    RecordedCore s;
     s.link();
     usual = play(s);
   }
   {
     say("a disk that is full after 40 KB: the answers are as ever, and what was written replays");
-    Theatre s;
+    RecordedCore s;
     s.disk->full_after = 40'000;
     s.record({{"segment_bytes", 20'000.0}});
     s.link();
@@ -69,7 +69,7 @@
   }
   {
     say("a disk that is full for a while: a gap, then a new segment with a snapshot of its own");
-    Theatre s;
+    RecordedCore s;
     s.disk->full_after = 30'000;
     s.record({{"segment_bytes", 1e6}});
     s.link();
@@ -91,7 +91,7 @@
   {
     say("a disk that does not return: the queue fills and no more is taken; no answer waits, nor does the "
         "end");
-    Theatre s;
+    RecordedCore s;
     s.disk->stick(true);
     s.record({{"queue_bytes", 30'000.0}});
     s.link();
@@ -107,7 +107,7 @@
   }
   std::string whole;
   {
-    Theatre s;
+    RecordedCore s;
     s.record();
     s.link();
     play(s, 60);
--- a/tests/recorded_seeds.cpp
+++ b/tests/recorded_seeds.cpp
@@ -1,14 +1,14 @@
 // Random days, each recorded from its beginning and again from its middle, in small segments, and replayed:
 // the same every time. What happens on a day: overload, lost calls, broken links, lost lines, cores that
 // stand still, repeats, leaving.
-#include "theatre.hpp"
+#include "recorded_core.hpp"
 
 namespace {
 
 constexpr int days = 120;
 
 std::vector<std::string> day(std::uint64_t seed, bool from_middle, bool conceal) {
-  Theatre s(seed);
+  RecordedCore s(seed);
   Pcg chance(seed * 7 + 3);
   const Given wanted{{"segment_bytes", 12'000.0}, {"conceal", conceal ? 1.0 : 0.0}};
   Given pools{{"pools.on", 1.0}, {"pools.reserve", 0.1}, {"pools.repeats", 0.1}};
--- a/tests/records.cpp
+++ b/tests/records.cpp
@@ -1,5 +1,5 @@
 #include "records.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 #include <asio/io_context.hpp>
 #include <sys/resource.h>
--- a/tests/rules.cpp
+++ b/tests/rules.cpp
@@ -1,6 +1,6 @@
 // The rule checker: each rule broken once has to be found, and a day on which all hold is found good.
 #include "rules.hpp"
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
   constexpr Nanos second = 1000 * ms;
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -1,8 +1,8 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 static void build(std::initializer_list<Given::value_type> more, std::initializer_list<const char*> without) {
   try {
-    Scene s(more, without);
+    Driver s(more, without);
     s.say("taken");
   } catch (const std::exception& e) {
     std::puts(e.what());
--- a/tests/stall.cpp
+++ b/tests/stall.cpp
@@ -1,7 +1,7 @@
-#include "scene.hpp"
+#include "driver.hpp"
 
 int main() {
-  Scene s;
+  Driver s;
   s.learn(100, 100);
   s.say("runs took 100 ms; now two hang, one of them keyed, and a third is held");
   s.read(31);
@@ -15,7 +15,7 @@
   s.ended(31, Outcome::done, 2000);
   s.read(35);
   s.to(4000);
-  Scene p;
+  Driver p;
   p.learn(100, 100);
   p.say("a process that stood still is not stalled: the time it missed does not count");
   p.read(31);
--- a/tests/tasks.cpp
+++ b/tests/tasks.cpp
@@ -17,7 +17,7 @@
 void say(const char* what) { std::printf("# %s\n", what); }
 
 // A member that is the one voter: what it asks itself is heard at the end of each step.
-struct Scene final : LeaseOrders, TaskOrders {
+struct Driver final : LeaseOrders, TaskOrders {
   Nanos now = 0;
   std::deque<std::function<void()>> own;
   bool deaf = false; // its asks get lost
@@ -26,7 +26,7 @@
   std::unique_ptr<Tasks> tasks;
   std::map<std::uint32_t, Token> under_way;
 
-  explicit Scene(const Given& of_tasks)
+  explicit Driver(const Given& of_tasks)
       : leases(0, MemberId{1}, Incarnation{7}, voters,
                {{"leases.term", 1e9},
                 {"leases.longest_term", 1e9},
@@ -117,7 +117,7 @@
   {
     say("done once a period by who holds it; not begun while it is under way, or where it would not end in "
         "time");
-    Scene s(task(0, "sweep", 400, 300));
+    Driver s(task(0, "sweep", 400, 300));
     s.to(1100); // a voter that starts is silent for a term
     s.to(1250);
     s.end(0, TaskEnd::done);
@@ -132,7 +132,7 @@
         task(0, "low", 200, 50, {{"priority", 1.0}}),
         with(task(1, "high", 200, 50, {{"priority", 9.0}}), task(2, "middle", 200, 50, {{"priority", 5.0}})));
     all["tasks.at_once"] = 2.0;
-    Scene s(all);
+    Driver s(all);
     s.to(1150);
     s.end(1, TaskEnd::done);
     s.to(1160);
@@ -143,7 +143,7 @@
     say("equals, one at once: each in its turn");
     Given all = with(task(0, "a", 100, 50), with(task(1, "b", 100, 50), task(2, "c", 100, 50)));
     all["tasks.at_once"] = 1.0;
-    Scene s(all);
+    Driver s(all);
     s.to(1150);
     for (int n = 0; n < 5; ++n) {
       s.to(s.now / ms + 120);
@@ -152,7 +152,7 @@
   }
   {
     say("three failures in a row: it is let go, each time for longer, so that another may try");
-    Scene s(task(0, "sweep", 100, 50));
+    Driver s(task(0, "sweep", 100, 50));
     s.to(1150);
     for (int n = 0; n < 7; ++n) {
       s.end(0, n % 2 ? TaskEnd::failed : TaskEnd::unknown);
@@ -166,7 +166,7 @@
   {
     say("done by another meanwhile: its period counts from then; an earlier holder's word, late, changes "
         "nothing");
-    Scene s(task(0, "sweep", 400, 100));
+    Driver s(task(0, "sweep", 400, 100));
     s.now = 700 * ms;
     s.tasks->heard_done(s.now, "sweep", Token{9}, 100 * ms);
     s.tasks->heard_done(s.now, "sweep", Token{8}, 0);
@@ -176,7 +176,7 @@
   }
   for (const double catch_up : {0.0, 1.0}) {
     say(catch_up > 0 ? "missed periods are caught up with" : "missed periods are left out");
-    Scene s(task(0, "sweep", 200, 50, {{"catch_up", catch_up}}));
+    Driver s(task(0, "sweep", 200, 50, {{"catch_up", catch_up}}));
     s.to(1105);
     for (int n = 0; n < 3; ++n) {
       s.to(s.now / ms + 20);
@@ -188,7 +188,7 @@
   }
   {
     say("sixteen an hour at the most: two at once, then one each 225 s");
-    Scene s(task(0, "sweep", 1000, 50, {{"most_an_hour", 16.0}}));
+    Driver s(task(0, "sweep", 1000, 50, {{"most_an_hour", 16.0}}));
     s.to(1050);
     for (int n = 0; n < 4; ++n) {
       s.end(0, TaskEnd::done);
@@ -197,7 +197,7 @@
   }
   {
     say("leaving while one is under way: its lease is given up when it has ended, and none begins");
-    Scene s(with(task(0, "sweep", 200, 100), task(1, "other", 200, 100)));
+    Driver s(with(task(0, "sweep", 200, 100), task(1, "other", 200, 100)));
     s.to(1150);
     s.end(1, TaskEnd::done);
     s.tasks->leave(s.now);
@@ -212,7 +212,7 @@
        {task(0, "a", 100, 200), task(0, "a", 0, 0), task(0, "a", 100, 50, {{"most_an_hour", -1.0}}),
         with(task(0, "a", 100, 50), {{"tasks.at_once", 0.0}})})
     try {
-      Scene s(bad);
+      Driver s(bad);
       std::printf("  taken\n");
     } catch (const std::invalid_argument& e) {
       std::printf("  %s\n", e.what());
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "configuration.hpp"
+#include "driver.hpp"
 #include "host.hpp"
-#include "scene.hpp"
 
 #include <csignal>
 
