Cold servers' calls: no more in hand than their part of the share, rests by chance before them

Need: cold servers fall under the sum of what all processes send; beyond a budget of N calls only 2 x root of N + 2 are chance, with 20 and 30 processes too. Each server's mean held all the while, so no count of its own shows it. To blame: Choice's call_limit_ of max(2, ...) from the start, and call_fits, which lets all that began together call at once when the time assumed for those before has passed. Excluded: rounding (the limit may be under one already), restarts (their use is assumed).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -63,6 +63,8 @@
 constexpr double calls_least = 0.15; // of the share, in hand at once however slow they are: it crowds nothing
 constexpr double few_part = 0.5;     // of the share, at the most a few: in hand at once though they are slow
 constexpr double few_calls = 2;      // in hand at once however small the share: the budget guards its mean
+constexpr Nanos first_rest = 4 * second; // of a cold server before a call, at the most
+constexpr Nanos undrawn = -1;            // that rest, until a call fits
 constexpr double calls_get_lost = 0.005; // part of them: one of the last few hundred
 constexpr int call_steps = 4;            // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call = 200 * ms;   // a call's time-out where little fits, none seen: some round trips
@@ -127,7 +129,8 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
-  call_limit_ = std::max(few_calls, calls_most * call_share_);
+  call_limit_ = calls_at_most(now);
+  if (call_limit_ > 0 && call_limit_ < 1) call_from_ = undrawn;
   idle_ = idle_told_ = span(given, "idle_ns", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = span(given, "call_linger_ns", 0);
@@ -661,8 +664,11 @@
     if (!call_fits(time_out)) time_out = std::min(time_out, tail);
     if (known && !call_fits(time_out))
       time_out = std::min(time_out, 2 * call_tail * recent_calls_.quantile(0.5));
-    if (!op->call_may_have_run && breaker_lets(now) && call_fits(time_out) && fits &&
-        (skippable || call_free(now))) {
+    // Against calls in step: all that began cold together may make one at the same moment.
+    const bool room = call_fits(time_out);
+    if (!room && call_limit_ < 1 && warmth(now) < 1) call_from_ = undrawn;
+    if (room && call_from_ == undrawn) call_from_ = now + static_cast<Nanos>(chance_.unit() * longest_rest());
+    if (!op->call_may_have_run && breaker_lets(now) && room && fits && (skippable || call_free(now))) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
       op->called_at = now;
@@ -689,6 +695,17 @@
          static_cast<double>(recent_calls_.quantile(0.5)) > crowded_latency * static_cast<double>(call_base_);
 }
 
+// A few at once however small the share, as the budget guards the mean; but no more than its part while it is
+// cold: others may be as cold, and all of them begin together. Under one, by rests.
+double Choice::calls_at_most(Nanos now) const {
+  const double part = calls_most * call_share_;
+  return warmth(now) < 1 ? part : std::max(few_calls, part);
+}
+
+double Choice::longest_rest() const {
+  return std::min(static_cast<double>(first_rest), static_cast<double>(first_call) / call_limit_);
+}
+
 // Guards against calls that pile up below and slow each other, so that forty do less than three: only as many
 // are in hand as don't make the usual one take twice its time; where one by each server is too many, fewer by
 // rests between. The base follows what is slow by itself. Harms what is slow at any load and could do more.
@@ -703,7 +720,7 @@
   call_base_ = call_base_ == 0 ? usual : std::min(usual, call_base_ + call_base_ / base_rise);
   if (!crowded_below()) {
     if (!at_call_.empty()) call_limit_ = std::min(call_limit_ + 1 / call_limit_, call_limit_ * cap_growth);
-    call_limit_ = std::min(call_limit_, std::max(few_calls, calls_most * call_share_));
+    call_limit_ = std::min(call_limit_, calls_at_most(now));
   } else if (now - call_cut_at_ >= usual) {
     const double least = std::max(calls_least * call_share_, std::min(few_calls, few_part * call_share_));
     call_limit_ = std::max(call_limit_ * cap_cut, std::min(call_limit_, least));
@@ -723,7 +740,8 @@
     if (outlasted && op.called_at >= call_done_from_) return false;
     in_hand += !outlasted;
   }
-  return call_limit_ < 1 ? in_hand == 0 && now >= call_from_ : in_hand < static_cast<int>(call_limit_);
+  return call_limit_ < 1 ? in_hand == 0 && call_from_ != undrawn && now >= call_from_
+                         : in_hand < static_cast<int>(call_limit_);
 }
 
 // The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -166,6 +166,8 @@
   Nanos longest_call() const;
   bool crowded_below() const;
   void steer_calls(Nanos now, Nanos lag);
+  double calls_at_most(Nanos now) const;
+  double longest_rest() const;
   bool call_free(Nanos now) const;
   Nanos call_step() const;
   Nanos call_wait() const;
--- a/tests/place.hpp
+++ b/tests/place.hpp
@@ -70,10 +70,16 @@
   std::multiset<Nanos> given_up; // ends of those that stay
   double most = 0;
 
+  Given more; // set beside the usual, or instead
+
   Place(const Service& s, unsigned n) : service(s), number(n), chance(n + 1) { begin(0, 3600 * second); }
+  // One that is begun later.
+  Place(const Service& s, unsigned n, Given m) : service(s), number(n), chance(n + 1), more(std::move(m)) {}
   void begin(Nanos at, Nanos machine_up_for) {
     now = at;
-    core.reset(new Core(now, settings(number), *this));
+    Given given = more;
+    given.merge(settings(number));
+    core.reset(new Core(now, given, *this));
     core->machine_up(now, machine_up_for);
     core->link_up(now, StartNo{0});
   }
--- a/tests/share.cpp
+++ b/tests/share.cpp
@@ -47,6 +47,41 @@
   return within;
 }
 
+// A service with a budget of calls in hand for all, and servers that begin cold: what they have in hand
+// together, at any moment, is within the budget and what chance may add to it.
+constexpr double budget = 12;
+const double slack = 2 * std::sqrt(budget) + 2;
+
+bool cold(unsigned count, Nanos apart) {
+  Service service;
+  service.takes = 60 * ms;
+  std::vector<std::unique_ptr<Place>> places;
+  for (unsigned n = 0; n < count; ++n)
+    places.push_back(std::make_unique<Place>(
+        service, n,
+        Given{{"call_share", budget / count}, {"cold", 1.0}, {"cold_from", 0.25}, {"warm_after_ns", 9e9}}));
+  double most = 0, most_mean = 0, calls = 0;
+  WindowMean all(window, 0);
+  for (Nanos t = 0; t < 8 * second; t += ms) {
+    double in_hand = 0;
+    for (auto& place : places) {
+      const Nanos begins = apart * (place->number % 4);
+      if (t == begins) place->begin(t, 100 * ms);
+      place->step(t, place->core && t / ms % 50 == place->number % 50);
+      in_hand += place->in_hand.count();
+    }
+    all.change(t, in_hand - all.count());
+    most = std::max(most, in_hand);
+    most_mean = std::max(most_mean, all.mean_with(all.count(), 0));
+  }
+  for (const auto& place : places) calls += place->acked;
+  const bool within = most <= budget + slack && most_mean <= budget;
+  std::printf(
+      "  %3u servers: most %.0f in hand of %.0f and %.1f, mean of five seconds %.1f; acked %.0f: %s\n", count,
+      most, budget, slack, most_mean, calls, within ? "within" : "OVER");
+  return within;
+}
+
 } // namespace
 
 int main() {
@@ -76,5 +111,9 @@
   good &= play({"three replies in a hundred never come", true, mute});
   good &= play({"calls don't end any more, those in hand go on at the old address", true, hangs});
   good &= play({"slow, and a server is killed and begun anew every 500 ms", false, killed});
+  std::puts("# cold at once");
+  for (const unsigned count : {1u, 20u, 30u, 300u}) good &= cold(count, 0);
+  std::puts("# cold in four waves, a second apart");
+  for (const unsigned count : {1u, 20u, 30u, 300u}) good &= cold(count, second);
   return good ? 0 : 1;
 }
