--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -63,6 +63,8 @@
 constexpr double calls_least = 0.15; // of the share, in hand at once however slow they are: it crowds nothing
 constexpr double few_part = 0.5;     // of the share, at the most a few: in hand at once though they are slow
 constexpr double few_calls = 2;      // in hand at once however small the share: the budget guards its mean
+constexpr Nanos first_rest = 4 * second; // of a cold server before a call, at the most
+constexpr Nanos undrawn = -1;            // that rest, until a call fits
 constexpr double calls_get_lost = 0.005; // part of them: one of the last few hundred
 constexpr int call_steps = 4;            // points of a call's time at which the mean in hand is looked at
 constexpr Nanos first_call = 200 * ms;   // a call's time-out where little fits, none seen: some round trips
@@ -101,9 +103,9 @@
 constexpr Nanos accept_rest = 20 * ms;     // after a failed accept: no spinning, no long wait
 constexpr Nanos stray_rest = 2 * second;   // by then both sides know that an op is over; most runs have ended
 constexpr Nanos first_word = 1500 * ms;    // for a frame to come whole: callers speak when they connect
-constexpr int strikes = 8; // ops in a row that no caller sends, on one connection: no more is read of it
+constexpr int penalties = 8; // ops in a row that no caller sends, on one connection: no more is read of it
 // The mute are no callers, an idle caller only has to connect anew, the newest would lose an op.
-constexpr std::array full_order{Way::unheard, Way::idle, Way::newest};
+constexpr std::array full_order{Eviction::mute, Eviction::idle, Eviction::newest};
 
 template <class T>
 void drop_from(std::vector<T*>& list, T* one) {
@@ -127,7 +129,8 @@
   key_kb_ = number(given, "key_kb", 0);
   fresh_for_ = span(given, "fresh_for_ns", 0);
   call_share_ = number(given, "call_share", 0);
-  call_limit_ = std::max(few_calls, calls_most * call_share_);
+  call_limit_ = calls_at_most(now);
+  if (call_limit_ > 0 && call_limit_ < 1) call_from_ = undrawn;
   idle_ = idle_told_ = span(given, "idle_ns", 0);
   several_below_ = text(given, "below", "none") == "next_hop";
   linger_ = span(given, "call_linger_ns", 0);
@@ -176,23 +179,23 @@
     tenants_.push_back({.quota = number(given, "tenant." + std::to_string(t) + ".quota", 0) / fleet});
   progress_at_ = counted_from_ = now;
   const Nanos report = span(given, "list_lapse_ns", 0) / report_part;
-  server_.pace(Pace::report, report);
-  server_.pace(Pace::report_wait, report);
-  server_.pace(Pace::link_again, link_rest);
+  server_.timing(Timing::report, report);
+  server_.timing(Timing::report_wait, report);
+  server_.timing(Timing::link_again, link_rest);
   Nanos longest = 0, latest = 0;
   for (const OpType& type : types_) {
     longest = std::max(longest, type.op_timeout);
     latest = std::max(latest, type.target_latency); // what is started into a dead link for as long is lost
   }
-  server_.pace(Pace::link_silent, std::clamp(latest, silent_least, silent_most));
-  server_.pace(Pace::unread, longest); // nobody waits for it any more
-  server_.pace(Pace::link_leave, leave_rest);
-  server_.pace(Pace::leave_to_end, end_rest);
-  server_.pace(Pace::silent_close, idle_); // callers close after it themselves
-  server_.pace(Pace::first_word, first_word);
-  server_.when_full(full_order, strikes);
-  server_.pace(Pace::accept_again, accept_rest);
-  server_.pace(Pace::settle_stray, stray_rest);
+  server_.timing(Timing::link_silent, std::clamp(latest, silent_least, silent_most));
+  server_.timing(Timing::unread, longest); // nobody waits for it any more
+  server_.timing(Timing::link_leave, leave_rest);
+  server_.timing(Timing::leave_to_end, end_rest);
+  server_.timing(Timing::silent_close, idle_); // callers close after it themselves
+  server_.timing(Timing::first_word, first_word);
+  server_.when_full(full_order, penalties);
+  server_.timing(Timing::accept_again, accept_rest);
+  server_.timing(Timing::settle_stray, stray_rest);
   server_.health(true, true);
   server_.wake_at(now + tick, WakeId{1});
 }
@@ -346,7 +349,7 @@
     out.push_back(*worst);
     kept.erase(worst);
   }
-  for (Op* op : out) turn_away(now, *op, winnable(*op, now, last_sureness) ? Why::line : Why::hopeless);
+  for (Op* op : out) turn_away(now, *op, winnable(*op, now, last_sureness) ? Reason::line : Reason::hopeless);
 }
 
 // Runs at a call so short that they are back before another would get anywhere: they count under the cap.
@@ -378,7 +381,7 @@
   if (held_.empty()) return;
   if (stalled_) {
     const std::vector<Op*> line = held_;
-    for (Op* op : line) turn_away(now, *op, Why::stalled);
+    for (Op* op : line) turn_away(now, *op, Reason::stalled);
     held_since_ = 0;
     return;
   }
@@ -490,7 +493,7 @@
   if (back) {
     op.stage = Stage::held;
     held_.push_back(&op);
-    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(op, Why::fell_back);
+    if (types_[op.type.raw].repeats != Repeats::retryable) give_up(op, Reason::fell_back);
     return;
   }
   forget(op);
@@ -510,7 +513,7 @@
 // the more of what comes has been nacked before (where that isn't marked: here). Guards against nacks that
 // only multiply reading and connecting where others are as full; harms where the few that have room are not
 // found by the first tries.
-void Choice::turn_away(Nanos now, Op& op, Why why) {
+void Choice::turn_away(Nanos now, Op& op, Reason why) {
   if (op.ran) return give_up(op, why);
   ++nacked_lately_;
   if (!stalled_) nacked_part_ += part_step;
@@ -526,12 +529,12 @@
 
 // Nacks a retryable op off the cores: its run is worth nothing here and may be made elsewhere.
 void Choice::send_on(Op& op) {
-  server_.nack(op.id, Why::hung, false, stay_away());
+  server_.nack(op.id, Reason::hung, false, stay_away());
   let_go(op);
 }
 
 // Fails an op wherever it stands. One on the cores is halted where that can be done, else it runs on unheard.
-void Choice::give_up(Op& op, Why why) {
+void Choice::give_up(Op& op, Reason why) {
   server_.fail(op.id, why);
   let_go(op);
 }
@@ -554,9 +557,9 @@
     if (!op.answered && op.due <= now + 2 * tick) late.push_back(&op);
   for (Op* op : late) {
     if (op->stage == Stage::held && !op->ran && op->earlier == no_op)
-      turn_away(now, *op, Why::due);
+      turn_away(now, *op, Reason::due);
     else
-      give_up(*op, Why::due);
+      give_up(*op, Reason::due);
   }
 }
 
@@ -592,7 +595,7 @@
   if (first != ops_.end() && first->second.stage == Stage::held && !first->second.ran) {
     if (types_[op.type.raw].repeats == Repeats::retryable) return false;
     op.first_seen = std::min(op.first_seen, first->second.first_seen);
-    turn_away(now, first->second, Why::replaced);
+    turn_away(now, first->second, Reason::replaced);
     op.earlier = no_op;
     return false;
   }
@@ -651,7 +654,7 @@
     // An op that can't be in time any more ends here; what it still would take is better spent on others. A
     // keyed one goes on, since a repeat could not be run.
     if (left <= 0 && type.repeats == Repeats::retryable && type.late_share == 0) {
-      give_up(*op, Why::late_at_call);
+      give_up(*op, Reason::late_at_call);
       continue;
     }
     const bool skippable = type.without_share > 0 && left > 0;
@@ -661,8 +664,11 @@
     if (!call_fits(time_out)) time_out = std::min(time_out, tail);
     if (known && !call_fits(time_out))
       time_out = std::min(time_out, 2 * call_tail * recent_calls_.quantile(0.5));
-    if (!op->call_may_have_run && breaker_lets(now) && call_fits(time_out) && fits &&
-        (skippable || call_free(now))) {
+    // Against calls in step: all that began cold together may make one at the same moment.
+    const bool room = call_fits(time_out);
+    if (!room && call_limit_ < 1 && warmth(now) < 1) call_from_ = undrawn;
+    if (room && call_from_ == undrawn) call_from_ = now + static_cast<Nanos>(chance_.unit() * longest_rest());
+    if (!op->call_may_have_run && breaker_lets(now) && room && fits && (skippable || call_free(now))) {
       drop_from(at_call_, op);
       op->stage = Stage::calling;
       op->called_at = now;
@@ -675,7 +681,7 @@
       join_core(now, *op);
       server_.answer_without(op->id);
     } else if (op->call_may_have_run) {
-      give_up(*op, Why::call_lost);
+      give_up(*op, Reason::call_lost);
     }
   }
 }
@@ -689,6 +695,17 @@
          static_cast<double>(recent_calls_.quantile(0.5)) > crowded_latency * static_cast<double>(call_base_);
 }
 
+// A few at once however small the share, as the budget guards the mean; but no more than its part while it is
+// cold: others may be as cold, and all of them begin together. Under one, by rests.
+double Choice::calls_at_most(Nanos now) const {
+  const double part = calls_most * call_share_;
+  return warmth(now) < 1 ? part : std::max(few_calls, part);
+}
+
+double Choice::longest_rest() const {
+  return std::min(static_cast<double>(first_rest), static_cast<double>(first_call) / call_limit_);
+}
+
 // Guards against calls that pile up below and slow each other, so that forty do less than three: only as many
 // are in hand as don't make the usual one take twice its time; where one by each server is too many, fewer by
 // rests between. The base follows what is slow by itself. Harms what is slow at any load and could do more.
@@ -703,7 +720,7 @@
   call_base_ = call_base_ == 0 ? usual : std::min(usual, call_base_ + call_base_ / base_rise);
   if (!crowded_below()) {
     if (!at_call_.empty()) call_limit_ = std::min(call_limit_ + 1 / call_limit_, call_limit_ * cap_growth);
-    call_limit_ = std::min(call_limit_, std::max(few_calls, calls_most * call_share_));
+    call_limit_ = std::min(call_limit_, calls_at_most(now));
   } else if (now - call_cut_at_ >= usual) {
     const double least = std::max(calls_least * call_share_, std::min(few_calls, few_part * call_share_));
     call_limit_ = std::max(call_limit_ * cap_cut, std::min(call_limit_, least));
@@ -723,7 +740,8 @@
     if (outlasted && op.called_at >= call_done_from_) return false;
     in_hand += !outlasted;
   }
-  return call_limit_ < 1 ? in_hand == 0 && now >= call_from_ : in_hand < static_cast<int>(call_limit_);
+  return call_limit_ < 1 ? in_hand == 0 && call_from_ != undrawn && now >= call_from_
+                         : in_hand < static_cast<int>(call_limit_);
 }
 
 // The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
@@ -908,13 +926,13 @@
   // Before the keys: a repeat that waits for its first takes memory too, and may not be nacked if that has
   // run.
   if (memory_with(0) > memory_part * memory_limit_)
-    return earlier != no_op ? give_up(op, Why::memory) : turn_away(now, op, Why::memory);
+    return earlier != no_op ? give_up(op, Reason::memory) : turn_away(now, op, Reason::memory);
   if (earlier != no_op && reuse_earlier(now, op)) return;
   // A big op that is likelier than not to be late on these cores is better off on faster ones. Only first
   // tries are sent on, so that none is sent round, and only where further tries are told from them.
   if (marks_again_ && !again && hint > 0 && !winnable(op, now, sent_on_sureness) &&
       now + run_time(op, sent_on_sureness) / faster_elsewhere <= win_by(op)) {
-    return turn_away(now, op, Why::too_big);
+    return turn_away(now, op, Reason::too_big);
   }
   admit(now, op);
 }
@@ -932,9 +950,9 @@
 // Nacks an op or puts it into the hold.
 void Choice::admit(Nanos now, Op& op) {
   const OpType& type = types_[op.type.raw];
-  if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op, Why::leaving);
+  if (drained_at_ >= 0 && now > serve_until_) return turn_away(now, op, Reason::leaving);
   const bool shared = type.repeats == Repeats::retryable && fresh_for_ > 0 && op.key != no_key;
-  if (type.repeats == Repeats::keyed && !keep(now, op)) return turn_away(now, op, Why::key_memory);
+  if (type.repeats == Repeats::keyed && !keep(now, op)) return turn_away(now, op, Reason::key_memory);
   if (shared && memory_with(key_kb_) < shared_part * memory_limit_) {
     keys_[op.id] = op.due + fresh_for_;
     op.kept = true;
@@ -1014,9 +1032,9 @@
   settle(now);
   tell(now);
   // Past the delay nothing more is served: callers that are told so, or get no connection, lose no time here.
-  if (drained_at_ >= 0 && now > serve_until_ && !doors_closed_) {
-    doors_closed_ = true;
-    server_.close_doors();
+  if (drained_at_ >= 0 && now > serve_until_ && !stopped_accepting_) {
+    stopped_accepting_ = true;
+    server_.stop_accepting();
   }
   server_.wake_at(now + tick, WakeId{1});
 }
--- a/tests/place.hpp
+++ b/tests/place.hpp
@@ -70,10 +70,16 @@
   std::multiset<Nanos> given_up; // ends of those that stay
   double most = 0;
 
+  Given more; // set beside the usual, or instead
+
   Place(const Service& s, unsigned n) : service(s), number(n), chance(n + 1) { begin(0, 3600 * second); }
+  // One that is begun later.
+  Place(const Service& s, unsigned n, Given m) : service(s), number(n), chance(n + 1), more(std::move(m)) {}
   void begin(Nanos at, Nanos machine_up_for) {
     now = at;
-    core.reset(new Core(now, settings(number), *this));
+    Given given = more;
+    given.merge(settings(number));
+    core.reset(new Core(now, given, *this));
     core->machine_up(now, machine_up_for);
     core->link_up(now, StartNo{0});
   }
@@ -157,12 +163,12 @@
   }
 
   void served(Line, OpId, Content) override { ++acked; }
-  void refused(Line, OpId, Why, Nanos, bool) override { ++nacked; }
-  void failed(Line, OpId op, Why) override {
+  void refused(Line, OpId, Reason, Nanos, bool) override { ++nacked; }
+  void failed(Line, OpId op, Reason) override {
     ++failed_ops;
     end_at_call(op);
   }
-  void strike(Line) override {}
+  void penalize(Line) override {}
   void start(OpId op, OpTypeId, const Content&, StartNo) override {
     on_way.insert(op);
     after(hop + 10 * ms, [this, op] {
@@ -189,8 +195,8 @@
   void health(bool) override {}
   void tell_callers(double) override {}
   void idle_close(Nanos) override {}
-  void pace(Pace, Nanos) override {}
-  void when_full(std::span<const Way>, int) override {}
-  void close_doors() override {}
+  void timing(Timing, Nanos) override {}
+  void when_full(std::span<const Eviction>, int) override {}
+  void stop_accepting() override {}
   void note(const char*, std::string_view) override {}
 };
