--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -177,6 +178,28 @@
   void drain(Nanos left) { choice_->drain(now_, left * ms); }
 };
 
+// While it lives no descriptor is free, but what is given back meanwhile.
+class NoneFree {
+  rlimit before_{};
+  std::vector<int> taken_;
+
+ public:
+  NoneFree() {
+    const int next = dup(0);
+    close(next);
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const rlimit few{static_cast<rlim_t>(next) + 2, before_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &few);
+    for (int fd; (fd = dup(0)) >= 0;) taken_.push_back(fd);
+  }
+  ~NoneFree() {
+    for (const int fd : taken_) close(fd);
+    setrlimit(RLIMIT_NOFILE, &before_);
+  }
+  NoneFree(const NoneFree&) = delete;
+  NoneFree& operator=(const NoneFree&) = delete;
+};
+
 class Peer {
   int fd_;
   std::string heard_;
