A number that comes again after its op has ended is no new op: a keyed op's repeat ran twice

To blame: Core::op_came took the number for new, as its op was forgotten, though a kept entry is known by it; Choice::reuse_earlier then found the stranger under it, held and never run, and let the repeat take its place. Change: a number by which something is kept is refused as known; where it comes with the op's own mark and body it is answered from what is kept.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -137,8 +137,15 @@
     at_key = Key{type, std::string(mark), body_digest};
   else if (shared)
     at_key = Key{type, std::string(subject), {}};
-  // Against filling the memory, and against a try that comes twice.
-  const bool known = ops_.contains(id);
+  // Sent again under its own number after it has ended: it has run, and is answered from what is kept.
+  if (const auto at = at_key ? keys_.find(*at_key) : keys_.end();
+      at != keys_.end() && at->second.holder == id && !ops_.contains(id)) {
+    if (at->second.state == Kept::State::done) return orders_.served(line, id, at->second.result);
+    if (at->second.state == Kept::State::failed) return orders_.failed(line, id, Reason::first_failed);
+  }
+  // Against filling the memory, and against a number that comes twice: also after its op has ended, as what
+  // is kept of that is known by its number, and whoever came under it would be taken for it.
+  const bool known = ops_.contains(id) || holders_.contains(id);
   const bool no_key_room = keyed && keys_.size() >= most_keys_;
   if (known || ops_.size() >= most_ops_ || no_key_room) {
     const Reason why = known ? Reason::known : no_key_room ? Reason::too_many_keys : Reason::too_many_ops;
@@ -404,6 +411,8 @@
     end_entry(entry, Kept::State::held, {}); // its time is over: nothing of the run before is left
     entry.ran = no_op;
   }
+  holders_.erase(entry.holder);
+  holders_.insert(id);
   entry.holder = id;
   entry.until = now_ + lifetime;
   entry.end = key_ends_.emplace(entry.until + key_slack + longest_, at->first);
@@ -428,6 +437,7 @@
 void Core::erase(const Key& key) {
   const auto at = keys_.find(key);
   result_bytes_ -= at->second.result.size;
+  holders_.erase(at->second.holder);
   key_ends_.erase(at->second.end);
   keys_.erase(at);
 }
@@ -539,7 +549,7 @@
   std::size_t ops = ops_.size(), keys = key_ends_.size();
   keeper(now_, ops, keys);
   if constexpr (Keeper::reads) {
-    ops_.clear(), lines_.clear(), keys_.clear(), key_ends_.clear();
+    ops_.clear(), lines_.clear(), keys_.clear(), key_ends_.clear(), holders_.clear();
     result_bytes_ = 0;
     for (; ops > 0; --ops) {
       OpId id{};
@@ -555,6 +565,7 @@
       const auto [at, fresh] = keys_.try_emplace(key);
       if (!fresh) throw std::invalid_argument("snapshot: a key twice");
       remember_kept(keeper, at->second);
+      holders_.insert(at->second.holder);
       result_bytes_ += at->second.result.size;
       at->second.end = key_ends_.emplace(end, at->first);
     }
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -156,6 +157,7 @@
   std::map<ConnectionId, std::map<StreamId, OpId>> lines_; // of the ops not answered, by connection
   std::map<Key, Kept> keys_;
   std::multimap<Nanos, Key> key_ends_; // one for each of them
+  std::set<OpId> holders_;             // of them
   std::size_t result_bytes_ = 0;
   std::vector<OpId> reused_; // to be answered after the module has returned
   using Wake = std::pair<Nanos, WakeId>;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -55,6 +55,29 @@
     say_answers(answers_until_check(w, 2));
   }
 
+  say("a stranger comes under the number of an op that has ended, and would be held: refused; a repeat of "
+      "the op is not run");
+  {
+    World w("3000");
+    w.link_up();
+    w.book(1, a, "m1");
+    w.command();
+    w.notice(1, "VALUE", a, fine);
+    w.balancer.frame();
+    for (std::uint32_t i = 2; i < 4; ++i) { // both cores
+      w.ask(i, "bbbbbbbbbbbbbbb" + std::to_string(i));
+      w.command();
+    }
+    w.book(4, a, "m9", "other");
+    w.book(5, b, "m1");
+    w.book(7, a, "m1"); // its own number once more
+    say_answers(answers_until_check(w, 1));
+    w.notice(2, "VALUE", "bbbbbbbbbbbbbbb2", fine);
+    w.balancer.frame();
+    w.book(8, c, "m2");
+    std::printf("  link: %s\n", w.command().c_str()); // the next start is of another op
+  }
+
   say("a try that comes after the window of the one that ran is another op");
   {
     World w("3000", "300000000");
