--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -176,7 +176,7 @@
     World w("1500");
     w.link_up();
     Peer machines = Peer::listening(7301), lists = Peer::listening(2380), below = Peer::listening(5433);
-    std::FILE* out = std::fopen("host_test.json", "w");
+    std::FILE* out = std::fopen(world_file.c_str(), "w");
     std::fputs(World::json("1500", 1).c_str(), out);
     std::fclose(out);
     Peer::turn = [] {};
@@ -188,7 +188,7 @@
     w.balancer.frame();
     w.balancer.to_end();
     Peer::until("end", [&] { return w.over; });
-    std::remove("host_test.json");
+    std::remove(world_file.c_str());
     std::printf("  over: %d\n", w.over);
   }
 
--- a/tests/host.cpp
+++ b/tests/host.cpp
@@ -202,7 +202,7 @@
     w.notice(4, "VALUE", a, fine);
     answered();
     second.reset();
-    std::remove("host_test.json");
+    std::remove(world_file.c_str());
   }
   {
     World w("400");
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -8,6 +8,9 @@
 
 #include <csignal>
 
+// Of this process alone, so that several may run at once.
+inline const std::string world_file = "host_test." + std::to_string(getpid()) + ".json";
+
 // A server whose link, records and announce services, and balancers, are played by the test.
 struct World {
   std::string question;
@@ -38,7 +41,7 @@
   }
 
   explicit World(const std::string& stop_ms, const std::string& window_ns = "9000000000")
-      : host(std::make_unique<Host>(configuration_in(json(stop_ms, 0, window_ns)), "host_test.json")),
+      : host(std::make_unique<Host>(configuration_in(json(stop_ms, 0, window_ns)), world_file.c_str())),
         machine((start(), machines.next())), list(lists.next()), balancer(Peer::to(5050)) {
     machine.line(); // CONNECT
     list.request({});
@@ -50,7 +53,7 @@
     Peer::turn = [this] { over = over || !host->poll(); };
   }
   static void hang_up(const std::string& file) {
-    std::FILE* out = std::fopen("host_test.json", "w");
+    std::FILE* out = std::fopen(world_file.c_str(), "w");
     std::fputs(file.c_str(), out);
     std::fclose(out);
     std::raise(SIGHUP), Peer::turn();
