--- a/node/front.hpp
+++ b/node/front.hpp
@@ -85,7 +85,7 @@
     int penalties = 0;          // in a row
     int past_end = 0;           // frames read past the time to end
     Nanos stuck_since = 0;      // while there is no room for what waits
-    Nanos draining_since = -1;  // that it takes no new op; -1: not told
+    Nanos draining_since = -1;  // told that it takes no new op; -1: not told
     bool reading = false;       // a wait for bytes is out
     bool writing = false;       // a wait for room is out
     bool input_ignored = false; // what comes is not read as frames any more
