--- /dev/null
+++ b/control/entries.hpp
@@ -0,0 +1,80 @@
+// Versioned entries of configuration, in the one order that all members see: what a control member holds and
+// hands out, and what a server has taken. Holds only; no I/O, no clock.
+//
+// A version is the place of a write in that order: the fencing token of the lease under which it was written,
+// then a count under it. Of each key only the newest entry is held; a deletion is an entry too, and is
+// forgotten, oldest first, where more than `control.most_deleted` are held.
+//
+// A key is SCOPE/NAME, the scope being all before the last '/'. A server follows some scopes, and may leave
+// out the others: to it, all entries of its scopes up to a version are its state of that version.
+//
+// Bounds: figures control.most_entries, .most_bytes (keys and values in all), .most_key, .most_value (bytes),
+// .most_deleted. Errors: the constructor throws std::invalid_argument with the name of a figure that is
+// missing or senseless; what can't be taken is told by `why_not`, and changes nothing.
+#pragma once
+
+#include "leases.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cometshift {
+
+struct Version {
+  Token token{};
+  std::uint64_t number = 0; // from 1 under each token
+  constexpr auto operator<=>(const Version&) const = default;
+};
+
+struct Entry {
+  std::string key, value;
+  Version version{};
+  MemberId writer{}; // where it was put
+  bool deleted = false;
+  bool operator==(const Entry&) const = default;
+};
+
+std::string_view scope_of(std::string_view key); // empty: the key has no '/'
+
+class Entries {
+ public:
+  explicit Entries(const Given& figures);
+
+  // Why such an entry has no room or makes no sense; empty: it can be taken.
+  std::string_view why_not(const Entry& entry) const;
+  // The newest of its key wins; false: what is held is as new, or there is no room. `last` goes up to it.
+  bool take(Entry entry);
+  // All up to `version` is held now, though the last of it is of scopes that are not: `last` goes up to it.
+  void reached(Version version);
+  void clear(); // everything, as after a start
+
+  Version last() const { return last_; }
+  // Deltas from before this version can't be told: deletions of before were forgotten.
+  Version floor() const { return floor_; }
+  const Entry* find(std::string_view key) const; // deletions too; nullptr: none
+  // Entries with a version over `after` and up to `to`, deletions too, in their order; of these scopes, or of
+  // all where none is named. Stops where `each` returns false.
+  void since(Version after, Version to, const std::vector<std::string>& scopes,
+             const std::function<bool(const Entry&)>& each) const;
+  // Of one scope, by key; deletions are left out.
+  void in(std::string_view scope, const std::function<bool(const Entry&)>& each) const;
+  std::vector<std::string> scopes() const;
+  // XXH3 over keys and versions of what a scope holds, deletions left out: equal where two hold the same.
+  std::uint64_t digest(std::string_view scope) const;
+
+  std::size_t count() const { return by_key_.size() - deleted_; }
+  std::size_t bytes() const { return bytes_; }
+
+ private:
+  std::size_t most_entries_, most_bytes_, most_key_, most_value_, most_deleted_;
+  std::map<std::string, Entry, std::less<>> by_key_;
+  std::map<Version, const Entry*> by_version_;
+  std::map<std::string, std::map<Version, const Entry*>, std::less<>> by_scope_;
+  std::size_t deleted_ = 0, bytes_ = 0;
+  Version last_{}, floor_{};
+};
+
+} // namespace cometshift
--- /dev/null
+++ b/scale/control.cpp
@@ -0,0 +1,7 @@
+#include "commands.hpp"
+
+namespace cometshift::scale {
+
+void add_control(CLI::App&, int&) {}
+
+} // namespace cometshift::scale
