cometshift-scale link: hollow members on a simulated network, slopes by role and phase

How the link's and the leases' costs go with the number of members was known from one probe of the module alone.

--- /dev/null
+++ b/scale/hollow.cpp
@@ -0,0 +1,137 @@
+#include "hollow.hpp"
+
+#include <algorithm>
+
+namespace cometshift::scale {
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+
+// As node/member.cpp: for how long what was granted under a list before may last.
+Nanos settle_time(const Given& figures) {
+  const double drift = number(figures, "leases.drift", 0);
+  return static_cast<Nanos>(number(figures, "leases.longest_term", 0) * (1 + drift) / (1 - drift)) + 1;
+}
+Incarnation drawn(std::uint64_t seed, MemberId self, std::uint64_t life) {
+  Pcg chance(seed ^ (std::uint64_t{self.raw} << 20 | life));
+  const std::uint64_t high = chance.next();
+  return Incarnation{high << 32 | chance.next() | 1};
+}
+
+} // namespace
+
+Hollow::Hollow(Nanos now, MemberId self, std::uint64_t life, const Part& part)
+    : network_(part.network), now_(now), self_{part.fleet, self, MemberId{}, drawn(part.seed, self, life)},
+      listed_(part.others), voters_(now, self, part.voters, settle_time(part.figures)),
+      leases_(now, self, self_.incarnation, voters_, part.figures, self_.incarnation.raw + 1, *this),
+      peers_(now, self_, part.others, voters_, part.figures, self_.incarnation.raw + 2, *this) {
+  std::sort(listed_.begin(), listed_.end());
+  for (const std::string& lease : part.wishes) leases_.want(now, lease);
+}
+
+void Hollow::turn(Nanos now) {
+  now_ = now;
+  for (;;) {
+    while (!own_.empty()) {
+      const auto what = std::move(own_.front());
+      own_.pop_front();
+      what();
+    }
+    voters_.passed(now);
+    leases_.count(static_cast<std::uint64_t>(now / ms));
+    leases_.due(now);
+    peers_.due(now);
+    if (own_.empty()) break;
+  }
+  peers_.flush(now);
+}
+
+Nanos Hollow::next_wake() const {
+  Nanos next = -1;
+  for (const Nanos at : {leases_.next_wake(), peers_.next_wake(), voters_.next_wake()})
+    if (at >= 0 && (next < 0 || at < next)) next = at;
+  return next;
+}
+
+// ---- the network
+
+// As Links does with a member that is not listed.
+bool Hollow::hello(Nanos, const words::Speaker& from) {
+  return std::binary_search(listed_.begin(), listed_.end(), from.from);
+}
+bool Hollow::letter(Nanos now, const words::Speaker& from, std::string_view payload) {
+  now_ = now;
+  return words::read_letter(payload, from, *this);
+}
+void Hollow::connected(Nanos now, MemberId to) {
+  peers_.connected(now, to);
+  peers_.say(to, Peers::Slot::telling, "", words::voters(voters_.on_file(), voters_.list()));
+}
+void Hollow::written(Nanos now, MemberId to) { peers_.written(now, to); }
+void Hollow::broken(Nanos now, MemberId to) { peers_.broken(now, to); }
+
+void Hollow::dial(MemberId to) { network_.dial(self_.from, to); }
+void Hollow::hang_up(MemberId to) { network_.hang_up(self_.from, to); }
+void Hollow::send(MemberId to, std::string frame) { network_.send(self_.from, to, std::move(frame)); }
+
+// ---- what others say
+
+bool Hollow::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
+                    Incarnation heard_of, bool leaving) {
+  return peers_.heard(now_, from, of, number, heard, heard_of, leaving);
+}
+void Hollow::voters(MemberId from, Epoch on_file, const VoterList& list) {
+  voters_.heard(now_, from, on_file);
+  voters_.learnt(now_, list);
+}
+void Hollow::asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
+                   Token token, Nanos term) {
+  leases_.asked(now_, from, of, epoch, lease, number, token, term);
+}
+void Hollow::released(MemberId from, Incarnation of, std::string_view lease, AskNo number) {
+  leases_.released(now_, from, of, lease, number);
+}
+void Hollow::granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) {
+  leases_.granted(now_, from, to, lease, number, wanted);
+}
+void Hollow::refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
+                     Nanos left) {
+  leases_.refused(now_, from, to, lease, number, seen, left);
+}
+
+// ---- what the leases order
+
+void Hollow::ask(MemberId voter, Epoch epoch, std::string_view lease, AskNo number, Token token, Nanos term) {
+  if (voter != self_.from)
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::ask(epoch, lease, number, token, term)));
+  own_.push_back([this, epoch, lease = std::string(lease), number, token, term] {
+    leases_.asked(now_, self_.from, self_.incarnation, epoch, lease, number, token, term);
+  });
+}
+void Hollow::release(MemberId voter, std::string_view lease, AskNo number) {
+  if (voter != self_.from)
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::release(lease, number)));
+  own_.push_back([this, lease = std::string(lease), number] {
+    leases_.released(now_, self_.from, self_.incarnation, lease, number);
+  });
+}
+void Hollow::grant(MemberId to, Incarnation of, std::string_view lease, AskNo number, bool wanted) {
+  if (to != self_.from)
+    return void(peers_.say(to, Peers::Slot::answering, lease, words::grant(of, lease, number, wanted)));
+  own_.push_back([this, of, lease = std::string(lease), number, wanted] {
+    leases_.granted(now_, self_.from, of, lease, number, wanted);
+  });
+}
+void Hollow::refuse(MemberId to, Incarnation of, std::string_view lease, AskNo number, Token seen,
+                    Nanos left) {
+  if (to != self_.from)
+    return void(peers_.say(to, Peers::Slot::answering, lease, words::refuse(of, lease, number, seen, left)));
+  own_.push_back([this, of, lease = std::string(lease), number, seen, left] {
+    leases_.refused(now_, self_.from, of, lease, number, seen, left);
+  });
+}
+void Hollow::held(std::string_view lease, Token, Nanos, Nanos) { holding_.emplace(lease); }
+void Hollow::lost(std::string_view lease, Token, LostWhy) { holding_.erase(std::string(lease)); }
+
+} // namespace cometshift::scale
