--- a/peers/links.hpp
+++ b/peers/links.hpp
@@ -31,6 +31,8 @@
     // The payload of a letter's frame; the view holds until the call returns. False: it is none, and its
     // connection ends.
     virtual bool letter(const words::Speaker& speaker, std::string_view payload) = 0;
+    // One of this fleet that is not listed wants to speak. True: it was listed meanwhile by `add`.
+    virtual bool welcome(const words::Speaker&) { return false; }
     virtual void remark(std::string_view words) = 0; // for the log
   };
   using Tcp = asio::ip::tcp;
@@ -39,7 +41,12 @@
         std::map<MemberId, Tcp::endpoint> others, Taker& taker);
   ~Links();
 
-  void dial(MemberId to);
+  // Who else is listed, while this one lives. Another endpoint of one that is listed serves from the next
+  // dial.
+  void add(MemberId member, Tcp::endpoint at);
+  void remove(MemberId member); // hangs up, and hears it no more; nothing of it follows
+
+  void dial(MemberId to); // nothing where it is not listed
   void hang_up(MemberId to);
   void send(MemberId to, std::string frame);
   void close(); // everything, for good
--- a/peers/peers.hpp
+++ b/peers/peers.hpp
@@ -7,8 +7,10 @@
 // of the last letter that it heard, by which the other knows whether it is heard.
 //
 // Bounds: one letter at a time is under way to a member; what waits stands in slots, where the newest word
-// about a matter replaces the one before, at most `peers.most_words` of them; a mute, slow or half-closed
-// member costs that and no more.
+// about a matter replaces the one before, at most `peers.most_words` of them and `peers.most_waiting_bytes`;
+// a mute, slow or half-closed member costs that and no more. Members known: `peers.most_members`. Beats sent
+// in a second, to all together: `peers.most_beats`; with more lines each gets fewer, and is told so. A wake
+// looks at those members that it concerns, never at all.
 //
 // Times: of the caller's own clock, ns, never going back. Nothing that is ordered may call back within the
 // order. Errors: the constructor throws std::invalid_argument with the name of a setting that is senseless.
@@ -48,8 +50,9 @@
 
 class Peers {
  public:
-  // What a word is about; one of a slot and a matter waits, the newest.
-  enum class Slot : std::uint8_t { asking, answering, telling };
+  // What a word is about; one of a slot and a matter waits, the newest. Words of `control` may be larger, and
+  // never keep those of the other slots waiting for more than a letter. Of `telling`, none outlives its line.
+  enum class Slot : std::uint8_t { asking, answering, telling, control };
 
   // `figures`, spans in ns:
   // - peers.beat: a letter goes out at least so often
@@ -57,21 +60,43 @@
   //   over two beats
   // - peers.rest_least, peers.rest_most: between tries to connect, doubled with each that comes to nothing
   // - peers.most_words: that wait for a member
-  // Connections are kept to the voters, and by a voter to all it hears; to all where no voter is heard.
+  // and these, which may be left out:
+  // - peers.most_waiting_bytes: of the words that wait for a member, matters included; else as many as
+  //   `most_words` of the leases' have at the most
+  // - peers.most_beats: a second, to all together; else what 20 members get at `peers.beat`
+  // - peers.most_members: others that are known; else as many as are handed in here
+  // - peers.by_choice: 1: connections are kept to those alone that `keep` names; else also to the voters, by
+  // a
+  //   voter to all it hears, and, where no voter is heard, to a few others at a time, by turns
   Peers(Nanos now, words::Speaker self, std::vector<MemberId> others, const Voters& voters,
         const Given& figures, std::uint64_t seed, PeerOrders& orders);
 
-  // To be said with the next letter. False: no room, or nobody of that number.
+  // Who else there is, while this member lives. False: it is this member itself, or there is no room for
+  // more.
+  bool add(Nanos now, MemberId member);    // true and nothing else where it is known already
+  void remove(Nanos now, MemberId member); // hangs up; what waits is dropped, what was heard is forgotten
+  bool knows(MemberId member) const { return fellows_.contains(member); }
+  std::size_t known() const { return fellows_.size(); }
+
+  // Whether a line to it is wanted by the caller, beside what the voters' rule wants; dialled again until it
+  // isn't. Without either the line is hung up, and what waits is dropped. False: nobody of that number.
+  bool keep(Nanos now, MemberId member, bool wanted);
+  const std::set<MemberId>& wanted() const { return wanted_; } // as the last turn found
+  bool up(MemberId to) const;                                  // a line to it stands
+
+  // To be said with the next letter. False: no room, too long, or nobody of that number.
   bool say(MemberId to, Slot slot, std::string_view about, std::string word);
-  void leave(Nanos now); // says so; what waits is still said
-  bool all_said() const; // to all that can be reached
+  void tell(Slot slot, std::string_view about, const std::string& word); // to all to whom a line is wanted
+  std::size_t room(MemberId to) const; // bytes that `say` still takes, a word's matter included
+  void leave(Nanos now);               // says so; what waits is still said
+  bool all_said() const;               // to all that can be reached
 
   void connected(Nanos now, MemberId to);
   void written(Nanos now, MemberId to);
   void broken(Nanos now, MemberId to);
   // A letter came: true if what it says is to be taken, false if it came before.
   bool heard(Nanos now, MemberId from, Incarnation of, std::uint64_t number, std::uint64_t echo,
-             Incarnation echo_of, bool leaving);
+             Incarnation echo_of, bool leaving, const words::Rhythm& rhythm = {});
 
   Nanos next_wake() const; // -1: none
   void due(Nanos now);
@@ -84,10 +109,21 @@
     Nanos heard_at = -1;
     std::size_t waiting = 0; // words
     std::uint64_t letters = 0, dropped = 0, dials = 0;
+    Nanos patience = 0; // unheard for so long it counts as silent
+    bool wanted = false;
   };
-  std::vector<Standing> standing() const;
+  std::vector<Standing> standing() const; // of all: for people
   Hearing hearing(MemberId of) const;
 
+  // What this member has cost since it began: members looked at (by a call or a wake), letters and their
+  // bytes as frames, tries to connect.
+  struct Costs {
+    std::uint64_t looked = 0, letters = 0, bytes = 0, dials = 0;
+  };
+  const Costs& costs() const { return costs_; }
+  std::size_t lines() const { return lines_; } // that stand
+  Nanos beat() const;                          // as it is now, to those who ask for no rarer one
+
  private:
   enum class Line { none, dialling, up, sending };
   struct Fellow {
@@ -95,39 +131,70 @@
     Nanos since = 0;      // the line is as it is
     Nanos again = 0;      // no dial before then
     bool unheard = false; // it was found deaf, and has answered nothing since
+    bool kept = false;    // the caller wants a line
     int tries = 0;        // that came to nothing, in a row
     using Matter = std::pair<Slot, std::string>;
     std::map<Matter, std::string> words;
-    Matter said_to{}; // the last that went out: the next letter goes on behind it
+    std::size_t bytes = 0;          // of the words, matters included
+    Matter said_to{}, control_to{}; // the last that went out: the next letter goes on behind it
     Nanos next_beat = 0;
     std::uint64_t number = 0; // of the last letter
     // Letters that were sent and not answered, by number; of many only the first and the last count.
     std::deque<std::pair<std::uint64_t, Nanos>> unanswered;
     Hearing hearing = Hearing::unknown;
     Nanos heard_at = -1;
+    words::Rhythm rhythm{};  // as it said last
+    Nanos answer_until = -1; // it hears no voter, and asked for a line back
     Incarnation newest{};
     Nanos newest_at = 0;
     std::map<Incarnation, std::uint64_t> last; // letters, by who wrote them
     bool told_doubled = false;
     std::uint64_t letters = 0, dropped = 0, dials = 0;
+    // As it is filed below.
+    Nanos wake = -1;
+    bool stands = false, sends = false, ready = false, heard = false, is_wanted = false;
   };
+  using Wakes = std::set<std::pair<Nanos, MemberId>>;
 
   bool wanted(Nanos now, MemberId of, const Fellow& fellow) const;
-  bool lonely(Nanos now) const;
+  bool deserted(Nanos now) const;
+  void ask_others(Nanos now);
+  void look_at_voters();
   void judge(Nanos now, MemberId of, Fellow& fellow);
+  void look(Nanos now, MemberId of, Fellow& fellow);
+  void send(Nanos now, MemberId to, Fellow& fellow);
   void end(Nanos now, MemberId of, Fellow& fellow);
+  void let_go(Fellow& fellow, bool tellings_only);
+  std::string next_words(Fellow& fellow);
+  Nanos patience(const Fellow& fellow) const;
   Nanos wake_of(MemberId of, const Fellow& fellow) const;
+  void file(MemberId member, Fellow& fellow);
 
   PeerOrders& orders_;
   words::Speaker self_;
   Pcg chance_;
   Nanos beat_, silent_, rest_least_, rest_most_;
-  std::size_t most_words_;
+  std::size_t most_words_, most_bytes_, most_members_;
+  double most_beats_;
+  bool by_choice_;
   const Voters& voters_;
+  std::set<MemberId> voters_seen_; // as the lines are kept to them
+  bool grants_seen_;
   bool leaving_ = false;
   Nanos now_;
-  Nanos heard_voter_at_; // any
+  Nanos deserted_at_; // unless a voter is heard before
+  bool lonely_ = false;
+  std::set<MemberId> asked_; // while lonely
+  Nanos ask_at_ = -1;        // others
   std::map<MemberId, Fellow> fellows_;
+  std::vector<MemberId> numbers_; // of the fellows, in order: to draw from
+  // The fellows by what they wait for; each is filed anew with each change of it.
+  Wakes wakes_;
+  std::set<MemberId> touched_; // to be looked at in this turn
+  std::set<MemberId> ready_;   // a line stands and is free, and words wait
+  std::set<MemberId> wanted_, answered_;
+  std::size_t lines_ = 0, sending_ = 0, hearing_ = 0;
+  Costs costs_;
 };
 
 } // namespace cometshift
--- a/peers/words.hpp
+++ b/peers/words.hpp
@@ -15,18 +15,28 @@
 constexpr std::uint32_t layout = 1;
 constexpr std::size_t most_letter = 64 * 1024; // bytes of a frame; what is larger is no letter
 constexpr std::size_t most_word = 256;         // bytes, the longest name included
+constexpr std::size_t most_control = 8 * 1024; // bytes of one that `control` takes; with it, 8 more
 
 // Who speaks on a connection, told first.
 struct Speaker {
   std::string fleet;
   MemberId from, to;
   Incarnation incarnation;
+  std::string listen = {}; // where it can be dialled, if it says so: an address as the files have it
+};
+
+// How often the writer of a letter writes, and wants to be written to where nothing else is to be said. 0: as
+// the figures have it, which is also what a build says that knows of no rhythm. Whole ms, rounded up.
+struct Rhythm {
+  Nanos next_in = 0;   // another letter follows within this
+  Nanos rarely = 0;    // one each so often is enough
+  bool lonely = false; // it hears no voter, and asks for a line back
 };
 
 // Whole frames.
 std::string hello(const Speaker& speaker);
 std::string letter(const Speaker& speaker, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
-                   bool leaving, std::string_view said);
+                   bool leaving, std::string_view said, const Rhythm& rhythm = {});
 // Parts of a letter, to be put behind each other.
 std::string ask(Epoch epoch, std::string_view lease, AskNo number, Token token, Nanos term);
 std::string release(std::string_view lease, AskNo number);
@@ -34,6 +44,7 @@
 std::string refuse(Incarnation to, std::string_view lease, AskNo number, Token seen, Nanos left);
 std::string done(std::string_view task, Token token, Nanos ago);
 std::string voters(Epoch on_file, const VoterList& list);
+std::string control(std::string_view bytes); // as the control part has them; at most `most_control`
 
 // What a letter says, in the order of the kinds. The views hold until the call returns.
 class Listener {
@@ -41,7 +52,7 @@
   virtual ~Listener() = default;
   // First. False: nothing in it is to be taken.
   virtual bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
-                      Incarnation heard_of, bool leaving) = 0;
+                      Incarnation heard_of, bool leaving, const Rhythm& rhythm) = 0;
   virtual void voters(MemberId from, Epoch on_file, const VoterList& list) = 0; // before all other words
   virtual void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
                      Token token, Nanos term) = 0;
@@ -50,6 +61,7 @@
   virtual void refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
                        Nanos left) = 0;
   virtual void done(MemberId from, std::string_view task, Token token, Nanos ago) = 0;
+  virtual void control(MemberId, Incarnation, std::string_view) {} // who takes no part in it passes it over
 };
 
 // Payloads of frames. False: they can't be read, or not by this build.
