--- a/node/member.cpp
+++ b/node/member.cpp
@@ -212,7 +212,7 @@
   told_ = voters_.list();
   told_on_file_ = voters_.on_file();
   told_joint_ = voters_.joint();
-  for (const MemberId other : others_) peers_.say(other, Peers::Slot::telling, "", voters_word());
+  peers_.tell(Peers::Slot::telling, "", voters_word());
 }
 std::string Member::voters_word() const { return words::voters(voters_.on_file(), voters_.list()); }
 void Member::voters(MemberId from, Epoch on_file, const VoterList& list) {
@@ -280,8 +280,8 @@
 // ---- what others say
 
 bool Member::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
-                    Incarnation heard_of, bool leaving) {
-  return peers_.heard(now(), from, of, number, heard, heard_of, leaving);
+                    Incarnation heard_of, bool leaving, const words::Rhythm& rhythm) {
+  return peers_.heard(now(), from, of, number, heard, heard_of, leaving, rhythm);
 }
 void Member::asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
                    Token token, Nanos term) {
@@ -378,8 +378,7 @@
       [this, task, token] { return leases_.may_act(now(), tasks_.name(task), 0) == token; });
 }
 void Member::tell_done(TaskId task, Token token) {
-  for (const MemberId other : others_)
-    peers_.say(other, Peers::Slot::telling, tasks_.name(task), words::done(tasks_.name(task), token, 0));
+  peers_.tell(Peers::Slot::telling, tasks_.name(task), words::done(tasks_.name(task), token, 0));
 }
 void Member::resting(TaskId task, Nanos rest) {
   warn("task", "%s: fails here, another member may try for %lld ms", tasks_.name(task).c_str(),
--- a/node/member.hpp
+++ b/node/member.hpp
@@ -47,7 +47,7 @@
   void doubled(MemberId number) override;
   // Words of others
   bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
-              bool leaving) override;
+              bool leaving, const words::Rhythm& rhythm) override;
   void voters(MemberId from, Epoch on_file, const VoterList& list) override;
   void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number, Token token,
              Nanos term) override;
@@ -72,7 +72,7 @@
 
   Nanos now();         // of who holds
   Nanos granted_now(); // of who granted
-  Nanos touched(); // something came: the turn looks at what follows from it; the time of who holds
+  Nanos touched();     // something came: the turn looks at what follows from it; the time of who holds
   void arm();
   void look_at_voters();
   std::string voters_word() const;
--- a/peers/links.cpp
+++ b/peers/links.cpp
@@ -5,6 +5,7 @@
 #include <asio/write.hpp>
 
 #include <chrono>
+#include <vector>
 
 namespace cometshift {
 
@@ -13,6 +14,7 @@
 constexpr std::size_t more_incoming = 8;      // than two for each member: one that is going, one that comes
 constexpr std::chrono::seconds first_word{2}; // in which a connection has to say who it is
 constexpr std::chrono::milliseconds accept_again{100}; // where no descriptor is free
+constexpr std::size_t read_at_once = 16 * 1024;        // bytes: others have their turn between
 constexpr int sent_ahead =
     32 * 1024; // bytes that the system may hold of letters: what is old there is of no use
 
@@ -20,7 +22,8 @@
 
 Links::Links(asio::io_context& io, Tcp::endpoint listen, words::Speaker self,
              std::map<MemberId, Tcp::endpoint> others, Taker& taker)
-    : io_(io), acceptor_(io), retry_(io), self_(std::move(self)), others_(std::move(others)), taker_(taker) {
+    : io_(io), acceptor_(io), retry_(io), self_(std::move(self)), others_(std::move(others)), taker_(taker),
+      some_(read_at_once, '\0') {
   try {
     acceptor_.open(listen.protocol());
     acceptor_.set_option(
@@ -46,10 +49,27 @@
     one->timer.cancel();
   }
   incoming_.clear();
-  numbers_.clear();
+  by_heard_.clear();
+  by_speaker_.clear();
   outgoing_.clear();
 }
 
+// ---- who is listed
+
+void Links::add(MemberId member, Tcp::endpoint at) {
+  if (member != self_.from) others_.insert_or_assign(member, at);
+}
+
+void Links::remove(MemberId member) {
+  if (others_.erase(member) == 0) return;
+  hang_up(member);
+  const auto at = by_speaker_.find(member);
+  if (at == by_speaker_.end()) return;
+  for (const std::uint64_t number : std::set(at->second)) end(std::shared_ptr(incoming_.at(number)), nullptr);
+}
+
+std::size_t Links::most_incoming() const { return 2 * others_.size() + more_incoming; }
+
 // ---- those that others dial
 
 void Links::accept_all() {
@@ -67,10 +87,12 @@
     }
     if (error) continue;
     // Against any number of connections: what they hold is bounded by it.
-    if (incoming_.size() >= 2 * others_.size() + more_incoming) make_room();
+    while (incoming_.size() >= most_incoming()) make_room();
     const auto one = std::make_shared<Incoming>(std::move(socket), io_);
-    numbers_[one.get()] = next_;
-    incoming_.emplace(next_++, one);
+    one->number = next_++;
+    one->socket.non_blocking(true, error);
+    incoming_.emplace(one->number, one);
+    by_heard_.emplace(one->heard, one->number);
     one->timer.expires_after(first_word);
     one->timer.async_wait([this, weak = std::weak_ptr(one)](asio::error_code stopped) {
       const auto held = weak.lock();
@@ -87,42 +109,45 @@
 }
 
 void Links::end(const std::shared_ptr<Incoming>& one, const char* why) {
-  const auto at = numbers_.find(one.get());
-  if (at == numbers_.end()) return;
+  if (incoming_.erase(one->number) == 0) return;
+  by_heard_.erase({one->heard, one->number});
+  if (const auto at = by_speaker_.find(one->speaker.from); one->known && at != by_speaker_.end()) {
+    at->second.erase(one->number);
+    if (at->second.empty()) by_speaker_.erase(at);
+  }
   if (why) taker_.remark(std::string("a connection closed: ") + why);
   asio::error_code ignored;
   one->socket.close(ignored);
   one->timer.cancel();
-  incoming_.erase(at->second);
-  numbers_.erase(at);
 }
 
-void Links::make_room() {
-  auto oldest = incoming_.begin();
-  for (auto at = incoming_.begin(); at != incoming_.end(); ++at)
-    if (at->second->heard < oldest->second->heard) oldest = at;
-  end(std::shared_ptr(oldest->second), "room for another");
-}
+void Links::make_room() { end(std::shared_ptr(incoming_.at(by_heard_.begin()->second)), "room for another"); }
 
 // A member that dials anew speaks there: what still lies in an earlier connection of it is old.
 void Links::replace(const Incoming& by) {
   std::vector<std::shared_ptr<Incoming>> before;
-  for (const auto& [number, one] : incoming_)
-    if (one.get() != &by && one->known && one->speaker.from == by.speaker.from &&
-        one->speaker.incarnation == by.speaker.incarnation)
+  for (const std::uint64_t number : by_speaker_[by.speaker.from])
+    if (const auto& one = incoming_.at(number); one->speaker.incarnation == by.speaker.incarnation)
       before.push_back(one);
   for (const auto& one : before) end(one, nullptr);
+  by_speaker_[by.speaker.from].insert(by.number);
 }
 
+// Most are idle: what is read of any of them passes through one place, and each keeps what is no letter yet.
 void Links::read(const std::shared_ptr<Incoming>& one) {
-  one->socket.async_read_some(asio::buffer(one->some), [this, one](asio::error_code error, std::size_t n) {
-    if (!numbers_.contains(one.get())) return;
+  one->socket.async_wait(Tcp::socket::wait_read, [this, one](asio::error_code error) {
+    if (closed_ || !incoming_.contains(one->number)) return;
+    std::size_t n = 0;
+    if (!error) n = one->socket.read_some(asio::buffer(some_), error);
+    if (error == asio::error::would_block) return read(one);
     if (error) return end(one, nullptr);
-    one->in.append(one->some, n);
+    one->in.append(some_, 0, n);
+    by_heard_.erase({one->heard, one->number});
     one->heard = ++heards_;
+    by_heard_.emplace(one->heard, one->number);
     const char* why = nullptr;
     if (!parse(*one, why)) return end(one, why);
-    if (one->in.empty()) one->in.shrink_to_fit(); // most are idle
+    if (one->in.empty()) one->in.shrink_to_fit();
     read(one);
   });
 }
@@ -142,14 +167,16 @@
         return why = "it says nothing that can be read", false;
       if (one.speaker.fleet != self_.fleet) return why = "of another fleet", false;
       if (one.speaker.to != self_.from) return why = "for another member", false;
-      if (!others_.contains(one.speaker.from)) return why = "of no member that is listed", false;
+      if (!others_.contains(one.speaker.from) &&
+          !(taker_.welcome(one.speaker) && others_.contains(one.speaker.from)))
+        return why = "of no member that is listed", false;
       one.known = true;
       one.timer.cancel();
       replace(one);
     } else if (type != frames::peer_letter || !taker_.letter(one.speaker, payload)) {
       return why = "a letter that can't be read", false;
     }
-    if (closed_) return false;
+    if (!incoming_.contains(one.number)) return false; // closed or removed meanwhile
   }
   one.in.erase(0, from);
   return true;
@@ -169,9 +196,11 @@
 }
 
 void Links::dial(MemberId to) {
+  const auto listed = others_.find(to);
+  if (listed == others_.end()) return;
   const auto held = std::make_shared<Outgoing>(io_);
   outgoing_[to] = held;
-  held->socket.async_connect(others_.at(to), [this, to, held](asio::error_code error) {
+  held->socket.async_connect(listed->second, [this, to, held](asio::error_code error) {
     if (!current(to, held)) return;
     if (error) return lost(to, held);
     asio::error_code ignored;
--- a/peers/links.hpp
+++ b/peers/links.hpp
@@ -16,7 +16,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace cometshift {
 
@@ -66,9 +68,9 @@
     asio::steady_timer timer; // for its first word
     std::string in;
     words::Speaker speaker;
+    std::uint64_t number = 0;
     bool known = false;      // it has said who it is
     std::uint64_t heard = 0; // by order: the one that was heard last has the greatest
-    char some[16 * 1024];
   };
   using Held = std::shared_ptr<Outgoing>;
 
@@ -82,6 +84,7 @@
   void await_end(MemberId to, const Held& held);
   void lost(MemberId to, const Held& held);
   bool current(MemberId to, const Held& held) const;
+  std::size_t most_incoming() const;
 
   asio::io_context& io_;
   Tcp::acceptor acceptor_;
@@ -90,8 +93,10 @@
   std::map<MemberId, Tcp::endpoint> others_;
   Taker& taker_;
   std::map<MemberId, Held> outgoing_;
-  std::map<std::uint64_t, std::shared_ptr<Incoming>> incoming_;
-  std::map<const Incoming*, std::uint64_t> numbers_;
+  std::map<std::uint64_t, std::shared_ptr<Incoming>> incoming_; // by number
+  std::set<std::pair<std::uint64_t, std::uint64_t>> by_heard_;  // with their numbers
+  std::map<MemberId, std::set<std::uint64_t>> by_speaker_;      // the numbers of those that are known
+  std::string some_;                                            // what is read, before it is a connection's
   std::uint64_t next_ = 1, heards_ = 0;
   bool closed_ = false;
 };
--- a/peers/peers.hpp
+++ b/peers/peers.hpp
@@ -65,14 +65,12 @@
   //   `most_words` of the leases' have at the most
   // - peers.most_beats: a second, to all together; else what 20 members get at `peers.beat`
   // - peers.most_members: others that are known; else as many as are handed in here
-  // - peers.by_choice: 1: connections are kept to those alone that `keep` names; else also to the voters, by
-  // a
-  //   voter to all it hears, and, where no voter is heard, to a few others at a time, by turns
+  // - peers.by_choice: 1: connections are kept to those alone that `keep` names; else also to the voters,
+  //   by a voter to all it hears, and, where no voter is heard, to a few others at a time, by turns
   Peers(Nanos now, words::Speaker self, std::vector<MemberId> others, const Voters& voters,
         const Given& figures, std::uint64_t seed, PeerOrders& orders);
 
-  // Who else there is, while this member lives. False: it is this member itself, or there is no room for
-  // more.
+  // Who else there is, while this member lives. False: it is this member itself, or there is no room.
   bool add(Nanos now, MemberId member);    // true and nothing else where it is known already
   void remove(Nanos now, MemberId member); // hangs up; what waits is dropped, what was heard is forgotten
   bool knows(MemberId member) const { return fellows_.contains(member); }
@@ -135,8 +133,8 @@
     int tries = 0;        // that came to nothing, in a row
     using Matter = std::pair<Slot, std::string>;
     std::map<Matter, std::string> words;
-    std::size_t bytes = 0;          // of the words, matters included
-    Matter said_to{}, control_to{}; // the last that went out: the next letter goes on behind it
+    std::size_t bytes = 0;                           // of the words, matters included
+    Matter said_to{}, control_to{Slot::control, {}}; // went out last: the next letter goes on behind them
     Nanos next_beat = 0;
     std::uint64_t number = 0; // of the last letter
     // Letters that were sent and not answered, by number; of many only the first and the last count.
@@ -163,6 +161,7 @@
   void judge(Nanos now, MemberId of, Fellow& fellow);
   void look(Nanos now, MemberId of, Fellow& fellow);
   void send(Nanos now, MemberId to, Fellow& fellow);
+  void down(Nanos now, Fellow& fellow);
   void end(Nanos now, MemberId of, Fellow& fellow);
   void let_go(Fellow& fellow, bool tellings_only);
   std::string next_words(Fellow& fellow);
--- a/peers/words.cpp
+++ b/peers/words.cpp
@@ -45,6 +45,11 @@
 Nanos span_of(std::uint64_t raw) {
   return static_cast<Nanos>(std::min<std::uint64_t>(raw, std::numeric_limits<Nanos>::max() / 4));
 }
+constexpr Nanos ms = 1'000'000;
+std::uint32_t ms_of(Nanos span) {
+  return static_cast<std::uint32_t>(
+      std::clamp<Nanos>((span + ms - 1) / ms, 0, std::numeric_limits<std::uint32_t>::max()));
+}
 std::uint64_t raw_of(Nanos span) { return static_cast<std::uint64_t>(std::max<Nanos>(span, 0)); }
 
 } // namespace
@@ -56,16 +61,20 @@
   out.set_to(speaker.to.raw);
   out.set_incarnation(speaker.incarnation.raw);
   out.set_layout(layout);
+  out.set_listen(speaker.listen);
   return framed(frames::peer_hello, 0, out.SerializeAsString());
 }
 
 std::string letter(const Speaker& speaker, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
-                   bool leaving, std::string_view said) {
+                   bool leaving, std::string_view said, const Rhythm& rhythm) {
   wire::Letter head;
   head.set_number(number);
   head.set_heard(heard);
   head.set_heard_of(heard_of.raw);
   head.set_leaving(leaving);
+  head.set_next_in(ms_of(rhythm.next_in));
+  head.set_rarely(ms_of(rhythm.rarely));
+  head.set_lonely(rhythm.lonely);
   return framed(frames::peer_letter, key_of(speaker), head.SerializeAsString().append(said));
 }
 
@@ -124,13 +133,18 @@
   });
 }
 
+std::string control(std::string_view bytes) {
+  return word([&](wire::Letter& letter) { letter.add_control(bytes.data(), bytes.size()); });
+}
+
 bool read_hello(std::string_view payload, Speaker& into) {
   std::string_view bytes;
   wire::Hello hello;
   if (!unsummed(payload, 0, bytes) || !hello.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
       hello.layout() != layout)
     return false;
-  into = {hello.fleet(), MemberId{hello.from()}, MemberId{hello.to()}, Incarnation{hello.incarnation()}};
+  into = {hello.fleet(), MemberId{hello.from()}, MemberId{hello.to()}, Incarnation{hello.incarnation()},
+          hello.listen()};
   return true;
 }
 
@@ -142,8 +156,9 @@
     return false;
   const MemberId from = speaker.from;
   const Incarnation of = speaker.incarnation;
+  const Rhythm rhythm{letter.next_in() * ms, letter.rarely() * ms, letter.lonely()};
   if (!listener.letter(from, of, letter.number(), letter.heard(), Incarnation{letter.heard_of()},
-                       letter.leaving()))
+                       letter.leaving(), rhythm))
     return true;
   if (letter.has_voters()) {
     VoterList list{Epoch{letter.voters().epoch()}, {}, {}};
@@ -163,6 +178,7 @@
                      span_of(one.left()));
   for (const wire::Done& one : letter.done())
     listener.done(from, one.task(), Token{one.token()}, span_of(one.ago()));
+  for (const std::string& one : letter.control()) listener.control(from, of, one);
   return true;
 }
 
--- a/peers/words.hpp
+++ b/peers/words.hpp
@@ -15,7 +15,8 @@
 constexpr std::uint32_t layout = 1;
 constexpr std::size_t most_letter = 64 * 1024; // bytes of a frame; what is larger is no letter
 constexpr std::size_t most_word = 256;         // bytes, the longest name included
-constexpr std::size_t most_control = 8 * 1024; // bytes of one that `control` takes; with it, 8 more
+constexpr std::size_t most_control = 8 * 1024; // bytes of one that `control` takes
+constexpr std::size_t control_head = 8;        // bytes that it adds
 
 // Who speaks on a connection, told first.
 struct Speaker {
@@ -25,11 +26,11 @@
   std::string listen = {}; // where it can be dialled, if it says so: an address as the files have it
 };
 
-// How often the writer of a letter writes, and wants to be written to where nothing else is to be said. 0: as
-// the figures have it, which is also what a build says that knows of no rhythm. Whole ms, rounded up.
+// How often the writer of a letter writes, and wants to be written to where nothing else is to be said. Whole
+// ms, rounded up.
 struct Rhythm {
-  Nanos next_in = 0;   // another letter follows within this
-  Nanos rarely = 0;    // one each so often is enough
+  Nanos next_in = 0;   // another letter follows within this; 0: of a build that knows of no rhythm
+  Nanos rarely = 0;    // one each so often is enough; 0: as the figures have it
   bool lonely = false; // it hears no voter, and asks for a line back
 };
 
--- /dev/null
+++ b/tests/link_costs.cpp
@@ -0,0 +1,287 @@
+// What the link costs as a fleet grows: real Peers on a simulated network and clock, with whole frames.
+// Counts only; each cost's exponent over N is fitted, so that one that turns quadratic again is found.
+#include "pcg.hpp"
+#include "peers.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+
+using namespace cometshift;
+
+namespace {
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+constexpr std::size_t tcp_ip = 40; // bytes beside a frame, one segment each
+
+class Net {
+ public:
+  Nanos now = 0;
+  void at(Nanos time, std::function<void()> what) { events_.push({time, next_++, std::move(what)}); }
+  void to(Nanos time) {
+    while (!events_.empty() && events_.top().at <= time) {
+      const Event event = events_.top();
+      events_.pop();
+      now = event.at;
+      event.what();
+    }
+    now = time;
+  }
+
+ private:
+  struct Event {
+    Nanos at;
+    std::uint64_t order;
+    std::function<void()> what;
+    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+  std::priority_queue<Event> events_;
+  std::uint64_t next_ = 0;
+};
+
+struct Member;
+using Members = std::vector<std::unique_ptr<Member>>; // by number, from 0: nobody
+
+// A member with its link and its list of voters, and no leases: what it asks and answers stands for them.
+struct Member final : PeerOrders, words::Listener {
+  Net& net;
+  Members& all;
+  words::Speaker self;
+  Voters voting;
+  Peers peers;
+  Nanos armed = -1, learnt_at = -1;
+  std::map<MemberId, std::uint64_t> lines; // the one that counts
+  std::uint64_t next_line = 0;
+
+  Member(Net& n, Members& members, MemberId number, const VoterList& list, std::vector<MemberId> others,
+         const Given& figures)
+      : net(n), all(members), self{"rig", number, MemberId{}, Incarnation{number.raw + 1000}},
+        voting(n.now, number, list, second),
+        peers(n.now, self, std::move(others), voting, figures, number.raw, *this) {
+    turn();
+  }
+  Member* other(MemberId number) const { return number.raw < all.size() ? all[number.raw].get() : nullptr; }
+  void turn() {
+    peers.due(net.now);
+    peers.flush(net.now);
+    const Nanos next = peers.next_wake();
+    if (next < 0 || next == armed) return;
+    armed = next;
+    net.at(std::max(next, net.now), [this, next] {
+      if (armed != next) return;
+      armed = -1;
+      turn();
+    });
+  }
+  template <class Act>
+  void later(MemberId to, Act act) { // of the line as it is now, a millisecond on
+    net.at(net.now + ms, [this, to, line = lines[to], act] {
+      if (lines[to] != line) return;
+      act();
+      turn();
+    });
+  }
+  void dial(MemberId to) override {
+    lines[to] = ++next_line;
+    later(to, [this, to] {
+      if (!other(to)) return peers.broken(net.now, to);
+      peers.connected(net.now, to);
+      peers.say(to, Peers::Slot::telling, "", words::voters(voting.on_file(), voting.list()));
+    });
+  }
+  void hang_up(MemberId to) override { lines[to] = 0; }
+  void send(MemberId to, std::string frame) override {
+    later(to, [this, to, frame = std::move(frame)] {
+      Member* const hearer = other(to);
+      if (!hearer) return peers.broken(net.now, to);
+      words::Speaker speaker = self;
+      speaker.to = to;
+      words::read_letter(std::string_view(frame).substr(9), speaker, *hearer);
+      hearer->turn();
+      peers.written(net.now, to);
+    });
+  }
+  void news(MemberId, Hearing, Hearing now) override { silences += now == Hearing::silent; }
+  void doubled(MemberId) override {}
+  int silences = 0;
+
+  bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
+              bool leaving, const words::Rhythm& rhythm) override {
+    return peers.heard(net.now, from, of, number, heard, heard_of, leaving, rhythm);
+  }
+  void voters(MemberId from, Epoch on_file, const VoterList& list) override {
+    voting.heard(net.now, from, on_file);
+    const Epoch before = voting.epoch();
+    voting.learnt(net.now, list);
+    if (voting.epoch() > before) learnt_at = net.now;
+  }
+  void asked(MemberId from, Incarnation of, Epoch, std::string_view lease, AskNo number, Token,
+             Nanos) override {
+    peers.say(from, Peers::Slot::answering, lease, words::grant(of, lease, number, false));
+  }
+  void released(MemberId, Incarnation, std::string_view, AskNo) override {}
+  void granted(MemberId, Incarnation, std::string_view, AskNo, bool) override {}
+  void refused(MemberId, Incarnation, std::string_view, AskNo, Token, Nanos) override {}
+  void done(MemberId, std::string_view, Token, Nanos) override {}
+};
+
+Given figures(double more_members = 0) {
+  return {{"peers.beat", 500e6},    {"peers.silent", 2e9},        {"peers.rest_least", 50e6},
+          {"peers.rest_most", 2e9}, {"peers.most_words", 1024.0}, {"peers.most_members", more_members}};
+}
+
+// y = a N^b, least squares of the logarithms.
+double exponent(const std::vector<double>& sizes, const std::vector<double>& costs) {
+  double n = 0, x = 0, y = 0, xx = 0, xy = 0;
+  for (std::size_t i = 0; i < sizes.size(); ++i) {
+    const double lx = std::log(sizes[i]), ly = std::log(std::max(costs[i], 1e-9));
+    ++n, x += lx, y += ly, xx += lx * lx, xy += lx * ly;
+  }
+  return (n * xy - x * y) / (n * xx - x * x);
+}
+void judged(const char* what, const std::vector<double>& sizes, const std::vector<double>& costs,
+            double most) {
+  const double found = exponent(sizes, costs);
+  std::printf("  %s: exponent %.2f, %s\n", what, std::abs(found) < 0.005 ? 0 : found,
+              found <= most ? "holds" : "TOO STEEP");
+}
+
+struct Cost {
+  double looked = 0, letters = 0, bytes = 0, heard = 0, dials = 0;
+};
+
+// One voter, or one member that chooses (`by_choice`), among N that speak with it.
+struct Star {
+  Net net;
+  Members all;
+  std::size_t size;
+  explicit Star(std::size_t members, bool by_choice) : size(members) {
+    const VoterList list{Epoch{1}, {MemberId{1}}, {}};
+    all.resize(members + 2);
+    Given centre = figures(static_cast<double>(members));
+    if (by_choice) centre["peers.by_choice"] = 1.0;
+    all[1] = std::make_unique<Member>(net, all, MemberId{1}, list, std::vector<MemberId>{}, centre);
+    const auto start = [this, list, by_choice](std::uint32_t number) {
+      all[1]->peers.add(net.now, MemberId{number});
+      if (by_choice) all[1]->peers.keep(net.now, MemberId{number}, true);
+      all[number] =
+          std::make_unique<Member>(net, all, MemberId{number}, list, std::vector{MemberId{1}}, figures(1));
+    };
+    for (std::uint32_t number = 2; number < members + 2; ++number) // a cold start of all within ten seconds
+      net.at(10 * second * number / static_cast<Nanos>(members + 2), [start, number] { start(number); });
+  }
+  Cost sum() const {
+    const Peers::Costs& costs = all[1]->peers.costs();
+    Cost cost{static_cast<double>(costs.looked), static_cast<double>(costs.letters),
+              static_cast<double>(costs.bytes + tcp_ip * costs.letters), 0, static_cast<double>(costs.dials)};
+    for (const auto& member : all)
+      if (member && member != all[1]) cost.heard += static_cast<double>(member->peers.costs().letters);
+    return cost;
+  }
+  Cost during(Nanos span) {
+    const Cost before = sum();
+    net.to(net.now + span);
+    const Cost after = sum();
+    const double seconds = static_cast<double>(span) / 1e9;
+    return {(after.looked - before.looked) / seconds, (after.letters - before.letters) / seconds,
+            (after.bytes - before.bytes) / seconds, (after.heard - before.heard) / seconds,
+            (after.dials - before.dials) / seconds};
+  }
+  // Each asks the voter for something every two seconds.
+  void ask(std::uint32_t number, std::uint64_t ask_number) {
+    Member& member = *all[number];
+    member.peers.say(MemberId{1}, Peers::Slot::asking, "t",
+                     words::ask(Epoch{1}, "t", AskNo{ask_number}, Token{1}, second));
+    member.turn();
+    net.at(net.now + 2 * second, [this, number, ask_number] { ask(number, ask_number + 1); });
+  }
+};
+
+void star(bool by_choice) {
+  std::printf("# %s among N: a cold start within ten seconds; then, a second, with nothing to say; then with "
+              "an ask of each every two seconds\n",
+              by_choice ? "one that chooses its lines" : "a voter");
+  std::vector<double> sizes, cold_looked, cold_letters, idle_looked, idle_bytes, idle_heard, busy_looked;
+  for (const std::size_t size : {100, 300, 1000, 3000, 6600}) {
+    Star star(size, by_choice);
+    star.net.to(20 * second);
+    const Cost cold = star.sum();
+    star.net.to(300 * second);
+    const Cost idle = star.during(300 * second);
+    int silences = 0;
+    for (const auto& member : star.all) silences += member ? member->silences : 0;
+    for (std::uint32_t number = 2; number < size + 2; ++number)
+      star.net.at(star.net.now + 2 * second * number / static_cast<Nanos>(size + 2),
+                  [&star, number] { star.ask(number, 1); });
+    star.net.to(star.net.now + 4 * second);
+    const Cost busy = star.during(10 * second);
+    std::printf("  %4zu: cold %.0f looked, %.0f letters, %.0f dials; idle %.1f looked, %.1f letters, %.0f "
+                "bytes, %.1f heard, %.1f dials, %d silences; busy %.0f looked, %.0f letters\n",
+                size, cold.looked, cold.letters, cold.dials, idle.looked, idle.letters, idle.bytes,
+                idle.heard, idle.dials, silences, busy.looked, busy.letters);
+    sizes.push_back(static_cast<double>(size));
+    cold_looked.push_back(cold.looked);
+    cold_letters.push_back(cold.letters);
+    idle_looked.push_back(idle.looked);
+    idle_bytes.push_back(idle.bytes);
+    idle_heard.push_back(idle.heard);
+    busy_looked.push_back(busy.looked);
+  }
+  judged("looked at in a cold start", sizes, cold_looked, 1.1);
+  judged("letters in a cold start", sizes, cold_letters, 1.1);
+  judged("looked at a second, idle", sizes, idle_looked, 0.05);
+  judged("bytes a second, idle", sizes, idle_bytes, 0.05);
+  judged("letters heard a second, idle", sizes, idle_heard, 0.05);
+  judged("looked at a second, busy", sizes, busy_looked, 1.1);
+}
+
+// The voters that all know are gone; of N others, some know a newer list.
+void without_voters() {
+  std::printf(
+      "# the old voters are gone, and part of N know of the new ones: until all others do, by whom they "
+      "are asked\n");
+  std::vector<double> sizes, dials;
+  for (const auto& [size, knowing] :
+       {std::pair{30U, 1U}, {100U, 1U}, {300U, 1U}, {300U, 30U}, {300U, 150U}}) {
+    Net net;
+    Members all;
+    const VoterList before{Epoch{1}, {MemberId{size + 1}, MemberId{size + 2}, MemberId{size + 3}}, {}};
+    const VoterList after{Epoch{2}, {MemberId{1}, MemberId{2}, MemberId{3}}, {}};
+    std::vector<MemberId> numbers;
+    for (std::uint32_t number = 1; number <= size + 3; ++number) numbers.push_back(MemberId{number});
+    all.resize(size + 4);
+    // The new voters go by their list too; those who know it hear them.
+    for (std::uint32_t number = 1; number <= size; ++number)
+      all[number] = std::make_unique<Member>(
+          net, all, MemberId{number}, number <= 3 + knowing ? after : before, numbers, figures(size + 3));
+    std::vector<double> told;
+    int unknowing = 0;
+    std::uint64_t dialled = 0;
+    net.to(120 * second);
+    for (std::uint32_t number = 4 + knowing; number <= size; ++number) {
+      ++unknowing;
+      dialled += all[number]->peers.costs().dials;
+      if (all[number]->learnt_at >= 0)
+        told.push_back(static_cast<double>(all[number]->learnt_at - 8 * second) / 1e9);
+    }
+    std::sort(told.begin(), told.end());
+    std::printf("  %3u, of whom %u know: %zu of %d learn it; half within %.1f s of the first question, nine "
+                "tenths within %.1f, all within %.1f; dials of each %.1f\n",
+                size, knowing, told.size(), unknowing, told[told.size() / 2], told[told.size() * 9 / 10],
+                told.back(), static_cast<double>(dialled) / unknowing);
+    if (knowing == 1) sizes.push_back(size), dials.push_back(static_cast<double>(dialled) / unknowing);
+  }
+  judged("dials of each", sizes, dials, 0.5);
+}
+
+} // namespace
+
+int main() {
+  star(false);
+  star(true);
+  without_voters();
+}
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -24,6 +24,12 @@
                 static_cast<unsigned long long>(speaker.incarnation.raw), payload.size());
     return good;
   }
+  Links* into = nullptr; // whom to list who asks to be
+  Links::Tcp::endpoint listens;
+  bool welcome(const words::Speaker& speaker) override {
+    if (into) into->add(speaker.from, listens);
+    return into != nullptr;
+  }
   void remark(std::string_view words) override {
     ++news;
     std::printf("  %.*s\n", static_cast<int>(words.size()), words.data());
@@ -135,6 +141,24 @@
   Peer::until("room", [&] { return links.incoming() == 12; });
   letters(1, [&] { second.say(letter); });
   std::printf("  connections in: %zu, and the member is still heard\n", links.incoming());
+  say("one that is listed when it comes: heard, and dialled; one that goes: hung up both ways, and heard no "
+      "more");
+  told.into = &links;
+  told.listens = at(6002);
+  Peer nine = Peer::to(6001);
+  letters(1,
+          [&] { nine.say(words::hello(speaker(9, 1)) + words::letter(speaker(9, 1), 1, 0, {}, false, "")); });
+  news([&] { links.dial(MemberId{9}); });
+  near = other.next();
+  const std::size_t all = links.incoming();
+  links.remove(MemberId{9});
+  links.remove(MemberId{9});
+  std::printf("  connections in: %zu less\n", all - links.incoming());
+  nine.to_end();
+  near.to_end();
+  links.dial(MemberId{9});
+  told.into = nullptr;
+  closed(words::hello(speaker(9, 1)));
   say("closed: nobody is heard any more");
   links.close();
   second.to_end();
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -25,9 +25,14 @@
   Voters voting;
   Peers peers;
   Nanos now = 0;
-  explicit Driver(std::vector<MemberId> others = three, std::vector<MemberId> voters = three)
+  explicit Driver(std::vector<MemberId> others = three, std::vector<MemberId> voters = three,
+                  const Given& more = {})
       : voting(0, MemberId{1}, {Epoch{1}, {voters.begin(), voters.end()}, {}}, ms),
-        peers(0, speaker_of(1, 0), std::move(others), voting, figures(), 1, out) {}
+        peers(0, speaker_of(1, 0), std::move(others), voting, with(more), 1, out) {}
+  static Given with(Given more) {
+    more.merge(figures());
+    return more;
+  }
   void to(Nanos time) { // with every wake-up on the way
     for (Nanos next; (next = peers.next_wake()) >= 0 && next <= time * ms;) {
       now = out.now = std::max(now, next);
@@ -39,9 +44,9 @@
     peers.flush(now);
   }
   void heard(std::uint32_t from, std::uint64_t number, std::uint64_t echo, std::uint64_t of = 70,
-             bool leaving = false) {
+             bool leaving = false, const words::Rhythm& rhythm = {}) {
     const bool taken =
-        peers.heard(now, MemberId{from}, Incarnation{of}, number, echo, Incarnation{7}, leaving);
+        peers.heard(now, MemberId{from}, Incarnation{of}, number, echo, Incarnation{7}, leaving, rhythm);
     if (!taken)
       std::printf("  %6lld letter %llu of %u is not taken\n", static_cast<long long>(now / ms),
                   static_cast<unsigned long long>(number), from);
@@ -180,6 +185,203 @@
   }
 }
 
+std::vector<MemberId> members(std::uint32_t first, std::uint32_t last) {
+  std::vector<MemberId> all;
+  for (; first <= last; ++first) all.push_back(MemberId{first});
+  return all;
+}
+
+// Members that come and go, lines by choice, and beats that were agreed on.
+void changing() {
+  const std::vector<MemberId> two = members(1, 2);
+  const auto yes = [](bool is) { return is ? "yes" : "no"; };
+  {
+    say("silence is judged by what was promised; without a promise, as in letters of earlier builds, by the "
+        "figures; a promise for ever counts as ten minutes");
+    Driver s(two, two);
+    s.out.words_too = false;
+    s.to(0);
+    s.heard(2, 1, 0, 70, false, {500 * ms, 0, false});
+    s.out.quiet = true;
+    s.to(1499);
+    s.out.quiet = false;
+    s.to(1500);
+    s.heard(2, 2, 0);
+    s.to(1799);
+    std::printf("  until then: %s\n", std::string(word_of(s.peers.hearing(MemberId{2}))).c_str());
+    s.out.quiet = true;
+    s.to(1800);
+    std::printf("  then: %s\n", std::string(word_of(s.peers.hearing(MemberId{2}))).c_str());
+    s.heard(2, 3, 0, 70, false, {Nanos{1} << 60, 0, false});
+    std::printf("  patience %lld s\n", static_cast<long long>(s.peers.standing()[0].patience / (1000 * ms)));
+  }
+  {
+    say("asked for fewer letters: it promises what it will keep; what there is to say goes at once; asked "
+        "for "
+        "nothing any more: the beat of the figures");
+    Driver s(two, two);
+    s.to(0);
+    s.peers.connected(0, MemberId{2});
+    s.to(0);
+    s.peers.written(0, MemberId{2});
+    s.heard(2, 1, 1, 70, false, {250 * ms, 250 * ms, false});
+    s.to(100);
+    s.peers.written(100 * ms, MemberId{2});
+    s.heard(2, 2, 2, 70, false, {250 * ms, 250 * ms, false});
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
+    s.to(200);
+    s.peers.written(200 * ms, MemberId{2});
+    s.heard(2, 3, 3);
+    s.to(450);
+    s.peers.written(450 * ms, MemberId{2});
+    s.heard(2, 4, 4);
+    s.to(550);
+  }
+  {
+    say("with 30 lines: each gets fewer letters, and is asked for fewer; in a second as many as 20 would "
+        "get; but one of an earlier build gets as many as ever");
+    Driver s(members(2, 31), {MemberId{1}});
+    s.out.quiet = true;
+    for (const MemberId member : members(2, 31)) s.heard(member.raw, 1, 0);
+    s.to(0);
+    for (const MemberId member : members(2, 31)) s.peers.connected(0, member);
+    s.to(0);
+    std::printf("  %zu lines, a beat of %lld ms\n", s.peers.lines(),
+                static_cast<long long>(s.peers.beat() / ms));
+    int before = 0;
+    std::uint64_t number = 1, to_old = 0;
+    for (Nanos at = 0; at < 3000; at += 10) {
+      for (const MemberId member : members(2, 31)) {
+        s.peers.written(s.now, member);
+        if (at % 100 == 0)
+          s.heard(member.raw, number + 1, s.peers.standing()[member.raw - 2].letters, 70, false,
+                  {member == MemberId{31} ? 0 : 100 * ms, 0, false});
+      }
+      number += at % 100 == 0;
+      if (at == 1000) before = s.out.letters, to_old = s.peers.standing()[29].letters;
+      s.to(at + 10);
+    }
+    std::printf("  letters in two seconds: %d, of them %llu to that one\n", s.out.letters - before,
+                static_cast<unsigned long long>(s.peers.standing()[29].letters - to_old));
+    s.out.quiet = false;
+    s.peers.written(s.now, MemberId{2});
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
+    s.to(s.now / ms);
+  }
+  {
+    say("members come and go: the same twice, itself, one too many; one that goes with words waiting, on a "
+        "line that stands; it is not heard, and dialled anew when it comes back");
+    Driver s(two, members(1, 4), {{"peers.most_members", 2.0}});
+    s.to(0);
+    s.peers.connected(0, MemberId{2});
+    s.to(0);
+    std::printf("  2: %s, 1: %s, 3: %s", yes(s.peers.add(0, MemberId{2})), yes(s.peers.add(0, MemberId{1})),
+                yes(s.peers.add(0, MemberId{3})));
+    std::printf(", 4: %s, known: %zu\n", yes(s.peers.add(0, MemberId{4})), s.peers.known());
+    s.to(5);
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
+    std::printf("  all said: %s\n", yes(s.peers.all_said()));
+    s.peers.remove(6 * ms, MemberId{2});
+    s.peers.remove(6 * ms, MemberId{2});
+    s.peers.written(6 * ms, MemberId{2});
+    s.peers.broken(6 * ms, MemberId{2});
+    std::printf("  all said: %s, known: %zu, lines: %zu\n", yes(s.peers.all_said()), s.peers.known(),
+                s.peers.lines());
+    s.to(10);
+    s.heard(2, 1, 0);
+    s.peers.add(10 * ms, MemberId{2});
+    s.to(10);
+    s.peers.connected(12 * ms, MemberId{2});
+    s.to(12);
+  }
+  {
+    say("by choice: voters are not dialled, nor who is heard; who is kept is, until it isn't, and what waits "
+        "goes with it");
+    Driver s(three, three, {{"peers.by_choice", 1.0}});
+    s.to(0);
+    s.heard(3, 1, 0);
+    s.peers.say(MemberId{3}, Peers::Slot::control, "", words::control("ab"));
+    s.to(10);
+    std::printf("  next wake %lld, room %zu\n", static_cast<long long>(s.peers.next_wake() / ms),
+                s.peers.room(MemberId{3}));
+    s.peers.keep(20 * ms, MemberId{3}, true);
+    s.to(20);
+    s.peers.say(MemberId{3}, Peers::Slot::control, "", words::control("ab"));
+    s.peers.tell(Peers::Slot::telling, "t", words::done("t", Token{1}, 0));
+    s.peers.connected(22 * ms, MemberId{3});
+    s.to(22);
+    s.peers.written(22 * ms, MemberId{3});
+    s.heard(3, 2, 1);
+    std::printf("  up: %s\n", yes(s.peers.up(MemberId{3})));
+    s.peers.say(MemberId{3}, Peers::Slot::control, "", words::control("abc"));
+    s.peers.keep(30 * ms, MemberId{3}, false);
+    s.to(30);
+    std::printf("  kept, where nobody has the number: %s; up: %s, room %zu\n",
+                yes(s.peers.keep(30 * ms, MemberId{9}, true)), yes(s.peers.up(MemberId{3})),
+                s.peers.room(MemberId{3}));
+    s.out.quiet = true;
+    s.to(2000);
+    std::printf("  dials: %d\n", s.out.dials);
+  }
+  {
+    say("no voter is heard: three others are asked, then three others; each is told that it is lonely");
+    Driver s(members(1, 20), {MemberId{2}});
+    s.to(1300);
+    for (const MemberId member : members(3, 20)) s.peers.connected(s.now, member);
+    s.to(1310);
+    s.to(2100);
+    say("a voter is heard: they are asked no more");
+    s.heard(2, 1, 0);
+    s.to(2110);
+    say("who is asked answers by a line back, while it is asked; eight of them at a time");
+    Driver other(members(1, 20), {MemberId{2}});
+    other.out.quiet = true;
+    other.to(0);
+    other.out.quiet = false;
+    for (const MemberId member : members(3, 15)) other.heard(member.raw, 1, 0, 70, false, {0, 0, true});
+    other.out.words_too = false;
+    other.to(10);
+    other.out.quiet = true;
+    for (const MemberId member : members(3, 15)) other.peers.connected(other.now, member);
+    other.to(10);
+    other.out.quiet = false;
+    other.heard(3, 2, 0);
+    other.to(20);
+    other.out.quiet = true;
+    other.to(311);
+    std::printf("  lines after the time of silence: %zu\n", other.peers.lines());
+  }
+  {
+    say("bytes that wait are bounded; a word about the same that has no room leaves the earlier one; others "
+        "go "
+        "before those of control, which wait for a letter at the most");
+    Driver s(two, two, {{"peers.most_waiting_bytes", 60'000.0}, {"peers.most_words", 100.0}});
+    const auto control = [&](const char* about, std::size_t bytes) {
+      return s.peers.say(MemberId{2}, Peers::Slot::control, about, words::control(std::string(bytes, 'x')));
+    };
+    s.to(0);
+    std::printf("  room %zu; a word over the most: %s\n", s.peers.room(MemberId{2}),
+                yes(control("a", words::most_control + 1)));
+    int taken = 0;
+    for (const char* about : {"a", "b", "c", "d", "e", "f", "g", "h"})
+      taken += control(about, words::most_control);
+    std::printf("  of eight the largest: %d, room %zu\n", taken, s.peers.room(MemberId{2}));
+    std::printf("  about the same, smaller: %s, room %zu\n", yes(control("a", 100)),
+                s.peers.room(MemberId{2}));
+    std::printf("  one more: %s, about the same, larger: %s\n", yes(control("h", 8000)),
+                yes(control("a", words::most_control)));
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
+    s.peers.connected(10 * ms, MemberId{2});
+    s.to(10);
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{3}));
+    for (int n = 0; n < 3; ++n) {
+      s.peers.written(20 * ms, MemberId{2});
+      s.to(20);
+    }
+    std::printf("  room %zu\n", s.peers.room(MemberId{2}));
+  }
+}
+
 // As bytes: nothing that was spoilt is taken.
 void bytes() {
   say("words as bytes: each kind, in one letter");
@@ -264,6 +466,7 @@
 
 int main() {
   steps();
+  changing();
   bytes();
   detectors();
 }
--- a/tests/printed_peers.hpp
+++ b/tests/printed_peers.hpp
@@ -11,12 +11,19 @@
   int taken = 0;
   bool quiet = false;
   std::uint64_t number = 0;
-  bool letter(MemberId from, Incarnation, std::uint64_t n, std::uint64_t heard, Incarnation,
-              bool leaving) override {
+  Nanos beat = 100'000'000; // of the figures: a promise of it is not printed
+  bool letter(MemberId from, Incarnation, std::uint64_t n, std::uint64_t heard, Incarnation, bool leaving,
+              const words::Rhythm& rhythm) override {
     ++taken, number = n;
-    if (!quiet)
-      std::printf("    letter %llu of member %u, heard %llu%s\n", static_cast<unsigned long long>(n),
-                  from.raw, static_cast<unsigned long long>(heard), leaving ? ", leaving" : "");
+    if (!quiet) {
+      std::printf("    letter %llu of member %u, heard %llu%s", static_cast<unsigned long long>(n), from.raw,
+                  static_cast<unsigned long long>(heard), leaving ? ", leaving" : "");
+      if (rhythm.next_in != 0 && rhythm.next_in != beat)
+        std::printf(", next in %lld", static_cast<long long>(rhythm.next_in / 1'000'000));
+      if (rhythm.rarely > 0)
+        std::printf(", one in %lld will do", static_cast<long long>(rhythm.rarely / 1'000'000));
+      std::printf("%s\n", rhythm.lonely ? ", lonely" : "");
+    }
     return true;
   }
   void word(const char* what, std::string_view lease, std::uint64_t figure, const char* more = "") {
@@ -40,6 +47,9 @@
     word("refuse", lease, n.raw);
   }
   void done(MemberId, std::string_view task, Token token, Nanos) override { word("done", task, token.raw); }
+  void control(MemberId, Incarnation, std::string_view bytes) override {
+    word("control", "bytes", bytes.size());
+  }
 };
 
 inline words::Speaker speaker_of(std::uint32_t from, std::uint32_t to, std::uint64_t incarnation = 7) {
