--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -1,7 +1,5 @@
 #include "hollow.hpp"
 
-#include <algorithm>
-
 namespace cometshift::scale {
 
 namespace {
@@ -23,10 +21,9 @@
 
 Hollow::Hollow(Nanos now, MemberId self, std::uint64_t life, const Part& part)
     : network_(part.network), now_(now), self_{part.fleet, self, MemberId{}, drawn(part.seed, self, life)},
-      listed_(part.others), voters_(now, self, part.voters, settle_time(part.figures)),
+      welcomes_(part.welcomes), voters_(now, self, part.voters, settle_time(part.figures)),
       leases_(now, self, self_.incarnation, voters_, part.figures, self_.incarnation.raw + 1, *this),
       peers_(now, self_, part.others, voters_, part.figures, self_.incarnation.raw + 2, *this) {
-  std::sort(listed_.begin(), listed_.end());
   for (const std::string& lease : part.wishes) leases_.want(now, lease);
 }
 
@@ -57,8 +54,8 @@
 // ---- the network
 
 // As Links does with a member that is not listed.
-bool Hollow::hello(Nanos, const words::Speaker& from) {
-  return std::binary_search(listed_.begin(), listed_.end(), from.from);
+bool Hollow::hello(Nanos now, const words::Speaker& from) {
+  return peers_.knows(from.from) || (welcomes_ && peers_.add(now, from.from));
 }
 bool Hollow::letter(Nanos now, const words::Speaker& from, std::string_view payload) {
   now_ = now;
@@ -78,8 +75,8 @@
 // ---- what others say
 
 bool Hollow::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
-                    Incarnation heard_of, bool leaving) {
-  return peers_.heard(now_, from, of, number, heard, heard_of, leaving);
+                    Incarnation heard_of, bool leaving, const words::Rhythm& rhythm) {
+  return peers_.heard(now_, from, of, number, heard, heard_of, leaving, rhythm);
 }
 void Hollow::voters(MemberId from, Epoch on_file, const VoterList& list) {
   voters_.heard(now_, from, on_file);
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -20,6 +20,7 @@
     Network& network;
     std::string fleet;
     std::vector<MemberId> others; // as its file lists them
+    bool welcomes = false;        // takes who is not listed as one that was learnt, while there is room
     VoterList voters;
     std::vector<std::string> wishes; // leases that it asks for as long as it lives
     Given figures;                   // leases.*, peers.*
@@ -49,7 +50,7 @@
   void doubled(MemberId) override {}
   // Words of others
   bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
-              bool leaving) override;
+              bool leaving, const words::Rhythm& rhythm) override;
   void voters(MemberId from, Epoch on_file, const VoterList& list) override;
   void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number, Token token,
              Nanos term) override;
@@ -73,7 +74,7 @@
   words::Speaker self_;
   std::deque<std::function<void()>> own_; // what this member says to itself
   std::set<std::string, std::less<>> holding_;
-  std::vector<MemberId> listed_; // sorted
+  bool welcomes_;
   Voters voters_;
   Leases leases_;
   Peers peers_;
--- a/scale/link.cpp
+++ b/scale/link.cpp
@@ -3,11 +3,10 @@
 // simulated network (network.hpp).
 //
 // Who is what. Voters are the first member of each region. Some ordinary members are measured; these and the
-// voters have all members in their files. The files of all others list the voters and the measured ones: an
-// ordinary member speaks with voters alone, and where it hears none, what the measured ones get from the
-// others is what they would get from a fleet whose files list all (`--list-all` shows that it makes no
-// difference; the memory for it grows with the square). A few leases are each asked for by two members that
-// are not measured.
+// voters have all members in their files. The files of all others list the voters and a few drawn by chance,
+// and they take as learnt whoever speaks to them: so who hears no voter is asked by as many as in a fleet
+// whose files list all (`--list-all` shows what difference it makes; the memory for it grows with the
+// square). A few leases are each asked for by two members that are not measured.
 //
 // Phases, each after a cold start of its own: cold, steady; tenth (a tenth of the members, no voter and none
 // that is measured, restarted in 10 s), zone (one is gone, its voters too, mute; then back cold), region (one
@@ -44,14 +43,15 @@
                 down_most = 1 * second; // of a restart: what an exec and its files take
 constexpr Nanos voters_apart =
     8 * second; // a restart each: over the term for which one that starts is silent
-constexpr Nanos until_alone =
-    12 * second; // over four silences, after which a member counts as without voters
-constexpr Nanos least_window = 5 * second, longest_settling = 120 * second;
+// Until a member counts as without voters: over four silences, or over the four beats that a voter may leave
+// out, of which it has 40 a second for all.
+constexpr Nanos until_alone = 12 * second, until_alone_each = 110 * ms;
+constexpr Nanos least_window = 5 * second, longest_settling = 300 * second;
 constexpr Nanos poll = 100 * ms; // how finely it is seen when all is settled
 // As the operator file has them where it is silent.
 constexpr double beat_s = 0.5, silent_s = 2, rest_least_s = 0.05, rest_most_s = 2, term_s = 5, drift = 0.01;
 constexpr double most_leases = 256;
-constexpr double not_told = -1;
+constexpr std::size_t drawn_others = 64; // in the files of most: many rounds of asking the few at a time
 const std::vector<std::string> all_phases{"cold", "tenth", "zone", "region", "voters", "alone"};
 
 struct Wanted {
@@ -69,14 +69,6 @@
              std::chrono::steady_clock::now().time_since_epoch())
       .count();
 }
-template <class Some>
-double looked_at(const Some& peers) { // of the members that it knows, if it tells
-  if constexpr (requires { peers.costs().looked; })
-    return static_cast<double>(peers.costs().looked);
-  else
-    return not_told;
-}
-
 using Figures = std::map<std::string, double>; // by name
 struct Result {
   unsigned members = 0, repeat = 0;
@@ -158,12 +150,11 @@
   Hollow* at(MemberId member) const { return static_cast<Hollow*>(network_.node(member)); }
 
   std::unique_ptr<Node> made(Nanos now, MemberId member, std::uint64_t life) {
-    const bool lists_all = wanted_.list_all || is_measured(member);
     const auto wishes = wishes_.find(member);
     const double term = term_s * 1e9;
     return std::make_unique<Hollow>(
         now, member, life,
-        Hollow::Part{network_, "hollow", lists_all ? everybody_ : few_, voters_,
+        Hollow::Part{network_, "hollow", listed(member), true, voters_,
                      wishes == wishes_.end() ? std::vector<std::string>{} : wishes->second,
                      Given{{"leases.term", term},
                            {"leases.longest_term", term},
@@ -176,10 +167,21 @@
                            {"peers.silent", silent_s * 1e9},
                            {"peers.rest_least", rest_least_s * 1e9},
                            {"peers.rest_most", rest_most_s * 1e9},
-                           {"peers.most_words", 4 * most_leases}},
+                           {"peers.most_words", 4 * most_leases},
+                           {"peers.most_members", static_cast<double>(everybody_.size())}},
                      wanted_.seed + 100 * repeat_});
   }
   void begin(MemberId member) { network_.start(member); }
+  // The same in each life.
+  std::vector<MemberId> listed(MemberId member) const {
+    if (wanted_.list_all || is_measured(member) || everybody_.size() <= voters + drawn_others)
+      return everybody_;
+    std::set<MemberId> some = voters_.voters;
+    Pcg draw(wanted_.seed * 7919 + member.raw);
+    while (some.size() < voters + drawn_others) some.insert(everybody_[draw.next() % everybody_.size()]);
+    some.erase(member);
+    return {some.begin(), some.end()};
+  }
 
   // ---- time
 
@@ -236,7 +238,9 @@
     Nanos cpu_peak = 0;
     std::uint64_t out_peak = 0, in_peak = 0;
   };
-  double looked(MemberId member) const { return at(member) ? looked_at(at(member)->peers()) : not_told; }
+  double looked(MemberId member) const { // -1: it doesn't live
+    return at(member) ? static_cast<double>(at(member)->peers().costs().looked) : -1;
+  }
   void open() {
     opened_ = network_.now();
     events_ = network_.events();
@@ -369,7 +373,7 @@
     const auto unheard = [this](MemberId m) { return votes(m) ? std::string() : "unheard"; };
     open();
     for (const MemberId voter : voters_.voters) network_.stop(voter, Network::Stop::reset);
-    bool went = go(until_alone);
+    bool went = go(until_alone + static_cast<Nanos>(everybody_.size()) * until_alone_each);
     if (went) {
       open();
       went = go(seconds(wanted_.seconds));
@@ -441,7 +445,8 @@
   return row.set("voters", voters)
       .set("sample", wanted.sample)
       .set("leases", wanted.leases)
-      .set("files", wanted.list_all ? "list all" : "of the voters and the sample list all")
+      .set("files",
+           wanted.list_all ? "list all" : "of the voters and the sample list all, others the voters and 64")
       .set("regions", regions)
       .set("zones", zones)
       .set("beat_s", beat_s)
@@ -513,17 +518,26 @@
 constexpr Bound bounds[] = {
     {"steady", "ordinary", "letters_out_s", flat},
     {"steady", "ordinary", "bytes_out_bytes_s", flat},
+    {"steady", "ordinary", "bytes_in_bytes_s", flat},
+    {"steady", "ordinary", "looked_s", flat},
     {"steady", "ordinary", "lines_out", flat},
-    {"steady", "voter", "letters_out_s", linear},
-    {"steady", "voter", "bytes_out_bytes_s", linear},
-    {"steady", "voter", "bytes_in_bytes_s", linear},
+    {"steady", "voter", "letters_out_s", flat},
+    {"steady", "voter", "bytes_out_bytes_s", flat},
+    {"steady", "voter", "bytes_in_bytes_s", flat},
+    {"steady", "voter", "looked_s", flat},
     {"steady", "voter", "lines_out", linear},
     {"cold", "ordinary", "dials", flat},
+    {"cold", "ordinary", "looked_s", linear}, // once each that its file lists
     {"cold", "voter", "dials", linear},
+    {"cold", "voter", "looked_s", linear},
     {"tenth", "ordinary", "letters_out_s", flat},
+    {"tenth", "ordinary", "looked_s", flat},
     {"tenth", "voter", "dials", linear},
+    {"tenth", "voter", "looked_s", linear},
     {"alone", "unheard", "letters_out_s", flat},
     {"alone", "unheard", "bytes_out_bytes_s", flat},
+    {"alone", "unheard", "bytes_in_bytes_s", flat},
+    {"alone", "unheard", "looked_s", flat},
     {"alone", "unheard", "lines_out", flat},
 };
 
@@ -531,10 +545,10 @@
   const std::vector<Result> all = run_all(wanted);
   for (const Result& one : all)
     std::printf("%u members, %s, %s: letters out %.1f in %.1f, bytes out %.0f in %.0f a second; dials %.1f; "
-                "connections out %.0f in %.0f; settled %.1f\n",
+                "looked at %.1f a second; connections out %.0f in %.0f; settled %.1f\n",
                 one.members, one.phase.c_str(), one.role.c_str(), one.got.at("letters_out_s"),
                 one.got.at("letters_in_s"), one.got.at("bytes_out_bytes_s"), one.got.at("bytes_in_bytes_s"),
-                one.got.at("dials"), one.got.at("lines_out"), one.got.at("lines_in"),
+                one.got.at("dials"), one.got.at("looked_s"), one.got.at("lines_out"), one.got.at("lines_in"),
                 one.got.contains("settled_s") ? one.got.at("settled_s") : 0);
   int code = 0;
   for (const Bound& bound : bounds) {
