--- a/peers/words.hpp
+++ b/peers/words.hpp
@@ -16,7 +16,7 @@
 constexpr std::size_t most_letter = 64 * 1024; // bytes of a frame; what is larger is no letter
 constexpr std::size_t most_word = 256;         // bytes, the longest name included
 constexpr std::size_t most_control = 8 * 1024; // bytes of one that `control` takes
-constexpr std::size_t control_head = 8;        // bytes that it adds
+constexpr std::size_t control_head = 3;        // bytes that it adds to the longest
 
 // Who speaks on a connection, told first.
 struct Speaker {
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -304,6 +304,7 @@
     s.to(10);
     std::printf("  next wake %lld, room %zu\n", static_cast<long long>(s.peers.next_wake() / ms),
                 s.peers.room(MemberId{3}));
+    s.to(20);
     s.peers.keep(20 * ms, MemberId{3}, true);
     s.to(20);
     s.peers.say(MemberId{3}, Peers::Slot::control, "", words::control("ab"));
@@ -313,6 +314,7 @@
     s.peers.written(22 * ms, MemberId{3});
     s.heard(3, 2, 1);
     std::printf("  up: %s\n", yes(s.peers.up(MemberId{3})));
+    s.to(30);
     s.peers.say(MemberId{3}, Peers::Slot::control, "", words::control("abc"));
     s.peers.keep(30 * ms, MemberId{3}, false);
     s.to(30);
@@ -360,16 +362,18 @@
       return s.peers.say(MemberId{2}, Peers::Slot::control, about, words::control(std::string(bytes, 'x')));
     };
     s.to(0);
-    std::printf("  room %zu; a word over the most: %s\n", s.peers.room(MemberId{2}),
-                yes(control("a", words::most_control + 1)));
+    const auto room = [&](const char* what, bool taken) {
+      std::printf("  %s: %s, room %zu\n", what, yes(taken), s.peers.room(MemberId{2}));
+    };
+    room("a word over the most", control("a", words::most_control + 1));
     int taken = 0;
     for (const char* about : {"a", "b", "c", "d", "e", "f", "g", "h"})
       taken += control(about, words::most_control);
-    std::printf("  of eight the largest: %d, room %zu\n", taken, s.peers.room(MemberId{2}));
-    std::printf("  about the same, smaller: %s, room %zu\n", yes(control("a", 100)),
-                s.peers.room(MemberId{2}));
-    std::printf("  one more: %s, about the same, larger: %s\n", yes(control("h", 8000)),
-                yes(control("a", words::most_control)));
+    std::printf("  of eight the largest: %d\n", taken);
+    room("about the same, smaller", control("a", 100));
+    room("one more of the largest", control("h", words::most_control));
+    room("and another", control("i", words::most_control));
+    room("about the same, larger", control("a", words::most_control));
     s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
     s.peers.connected(10 * ms, MemberId{2});
     s.to(10);
