--- a/scale/link.cpp
+++ b/scale/link.cpp
@@ -45,7 +45,7 @@
     8 * second; // a restart each: over the term for which one that starts is silent
 // Until a member counts as without voters: over four silences, or over the four beats that a voter may leave
 // out, of which it has 40 a second for all.
-constexpr Nanos until_alone = 12 * second, until_alone_each = 110 * ms;
+constexpr Nanos until_alone = 12 * second, until_alone_each = 100 * ms;
 constexpr Nanos least_window = 5 * second, longest_settling = 300 * second;
 constexpr Nanos poll = 100 * ms; // how finely it is seen when all is settled
 // As the operator file has them where it is silent.
@@ -57,7 +57,7 @@
 struct Wanted {
   std::vector<unsigned> members{100, 300, 1000, 3000, 6600};
   std::vector<std::string> phases = all_phases;
-  double seconds = 10, budget_s = 60;
+  double seconds = 10, budget_s = 120;
   std::uint64_t seed = 1;
   unsigned repeat = 1, jobs = 2, sample = 8, leases = 16;
   bool list_all = false, counts = false;
@@ -87,7 +87,9 @@
             zones_of(members),
             [this](Nanos now, MemberId member, std::uint64_t life) { return made(now, member, life); },
             wanted.seed * 31 + repeat),
-        wall_until_(wall_now() + static_cast<Nanos>(wanted.budget_s * 1e9)), begun_(wall_now()) {
+        wall_until_(wanted.counts ? std::numeric_limits<Nanos>::max()
+                                  : wall_now() + static_cast<Nanos>(wanted.budget_s * 1e9)),
+        begun_(wall_now()) {
     for (const unsigned zone : voter_zones) voters_.voters.insert(MemberId{zone + 1});
     const unsigned first = zones + 1;
     const unsigned room = members > first + 1 ? (members - first) / std::max(1u, wanted.sample) : 0;
