Stalled lines are hung up by asks and by letters that missed; first hearings aren't deaf

Cause: patience was stretched with the other's promised beat (up to 165 s), so a line that TCP sends again on with rests of up to 120 s was kept, and what asked waited on it. A voter's own line back stalled the same way. And a line that nobody had tried to set up counted as unreached since this member's start.

Now a line ends where a word of asking or control went out and nothing at all is heard for peers.silent, and where a letter comes whose writer has not heard what went to it over peers.silent before; deafness goes on counting over such lines. Words of control don't outlive their line, as those of telling. A line that was not wanted counts as unreached from when it is; what a member was found to be before it left is forgotten. The status tells a stretched silence.

--- a/node/member.cpp
+++ b/node/member.cpp
@@ -405,10 +405,14 @@
   }
   for (const Peers::Standing& peer : peers_.standing()) {
     const std::string_view hearing = word_of(peer.hearing);
-    note("status of peers", "member %u: %.*s, heard %lld ms ago, %zu words wait, %llu letters, %llu dials",
+    std::string stretched; // only where it is not as the operator file has it
+    if (peer.patience != peers_.silent())
+      stretched = ", silent after " + std::to_string(peer.patience / ms) + " ms";
+    note("status of peers", "member %u: %.*s, heard %lld ms ago%s, %zu words wait, %llu letters, %llu dials",
          peer.member.raw, cut(hearing), hearing.data(),
-         peer.heard_at < 0 ? -1 : static_cast<long long>((at - peer.heard_at) / ms), peer.waiting,
-         static_cast<unsigned long long>(peer.letters), static_cast<unsigned long long>(peer.dials));
+         peer.heard_at < 0 ? -1 : static_cast<long long>((at - peer.heard_at) / ms), stretched.c_str(),
+         peer.waiting, static_cast<unsigned long long>(peer.letters),
+         static_cast<unsigned long long>(peer.dials));
   }
   for (const Tasks::Standing& task : tasks_.standing())
     note("status of tasks",
--- a/peers/peers.cpp
+++ b/peers/peers.cpp
@@ -196,9 +196,10 @@
   return most_bytes_ - std::min(most_bytes_, at->second.bytes);
 }
 
-void Peers::let_go(Fellow& fellow, bool tellings_only) {
+void Peers::let_go(Fellow& fellow, bool stale_only) {
   std::erase_if(fellow.words, [&](const auto& entry) {
-    if (tellings_only && entry.first.first != Slot::telling) return false;
+    const Slot slot = entry.first.first;
+    if (stale_only && slot != Slot::telling && slot != Slot::control) return false;
     fellow.bytes -= entry.first.second.size() + entry.second.size();
     return true;
   });
@@ -252,6 +253,8 @@
   fellow.line = Line::none;
   fellow.since = now;
   fellow.unanswered.clear(); // may be lost with it
+  fellow.asked_at = -1;
+  fellow.missed = false;
   const double missing = static_cast<double>(wanted_.size() - std::min(wanted_.size(), lines_));
   const double most = std::max(static_cast<double>(rest_most_), missing * 1e9 / most_beats_);
   const double rest = std::min(static_cast<double>(rest_least_) * std::exp2(fellow.tries), most);
@@ -293,6 +296,7 @@
   known = number;
   if (of != fellow.newest) return true; // its words count, what it says of the link is another's
   fellow.heard_at = now;
+  fellow.asked_at = -1;
   fellow.rhythm = {std::min(rhythm.next_in, most_span), std::min(rhythm.rarely, most_span), rhythm.lonely};
   if (voters_.votes(from))
     deserted_at_ = std::max(deserted_at_, now + std::max(lonely_silences * silent_, patience(fellow)));
@@ -307,7 +311,13 @@
     bool answered = false;
     for (; !fellow.unanswered.empty() && fellow.unanswered.front().first <= echo; answered = true)
       fellow.unanswered.pop_front();
-    if (answered) fellow.tries = 0, fellow.unheard = false;
+    if (answered) fellow.tries = 0, fellow.unheard = false, fellow.missed_since = -1;
+  }
+  // It writes, and has not heard what went to it long ago: that stands on the way, and so would an answer.
+  if (!fellow.unanswered.empty() && now - fellow.unanswered.front().second >= silent_) {
+    fellow.missed = true;
+    if (fellow.missed_since < 0) fellow.missed_since = fellow.unanswered.front().second;
+    touched_.insert(from);
   }
   if (leaving && fellow.hearing != Hearing::left) {
     orders_.news(from, fellow.hearing, Hearing::left);
@@ -317,6 +327,8 @@
         fellow.hearing == Hearing::silent) {
       orders_.news(from, fellow.hearing, Hearing::well);
       fellow.hearing = Hearing::well;
+      fellow.missed_since = -1;
+      fellow.unheard = false;                            // of the time before it left
       if (fellow.line == Line::none) fellow.again = now; // it is there again: no rest is needed
     }
     judge(now, from, fellow);
@@ -338,8 +350,9 @@
   if (fellow.hearing == Hearing::unknown || fellow.hearing == Hearing::left) return;
   Hearing next = Hearing::well;
   const Nanos most = patience(fellow);
-  const bool unanswered = !fellow.unanswered.empty() && now - fellow.unanswered.front().second >= most;
-  const bool unreached = fellow.line == Line::none && now - fellow.since >= silent_;
+  const bool unanswered = (!fellow.unanswered.empty() && now - fellow.unanswered.front().second >= most) ||
+                          (fellow.missed_since >= 0 && now - fellow.missed_since >= most);
+  const bool unreached = fellow.is_wanted && fellow.line == Line::none && now - fellow.since >= silent_;
   if (now - fellow.heard_at >= most)
     next = Hearing::silent;
   else if (wanted(now, of, fellow) && (unanswered || unreached || fellow.unheard))
@@ -368,8 +381,10 @@
   const Nanos most = patience(fellow);
   const bool want = wanted(now_, of, fellow);
   const bool may_be_deaf = want && fellow.hearing == Hearing::well;
+  if (may_be_deaf && fellow.missed_since >= 0) also(fellow.missed_since + most);
   if (fellow.hearing == Hearing::well || fellow.hearing == Hearing::deaf) also(fellow.heard_at + most);
   if (now_ < fellow.answer_until) also(fellow.answer_until);
+  if (fellow.asked_at >= 0) also(fellow.asked_at + silent_);
   switch (fellow.line) {
   case Line::none:
     if (want && !leaving_) also(fellow.again);
@@ -444,13 +459,18 @@
 }
 
 void Peers::look(Nanos now, MemberId member, Fellow& fellow) {
+  if (!fellow.is_wanted && fellow.line == Line::none) fellow.since = now; // nobody tried to reach it before
   judge(now, member, fellow);
   if (now >= fellow.answer_until) answered_.erase(member);
   const bool stuck =
       (fellow.line == Line::dialling || fellow.line == Line::sending) && now - fellow.since >= silent_;
   const bool unanswered = fellow.line == Line::up && !fellow.unanswered.empty() &&
                           now - fellow.unanswered.front().second >= patience(fellow);
-  if (stuck || unanswered) end(now, member, fellow);
+  // Against a line that TCP still sends again on, with rests of minutes: neither silence nor deafness says it
+  // soon of one that promised little.
+  const bool stalled = (fellow.line == Line::up || fellow.line == Line::sending) &&
+                       (fellow.missed || (fellow.asked_at >= 0 && now - fellow.asked_at >= silent_));
+  if (stuck || unanswered || stalled) end(now, member, fellow);
   fellow.is_wanted = wanted(now, member, fellow);
   if (!fellow.is_wanted) {
     wanted_.erase(member);
@@ -482,7 +502,7 @@
 
 // On behind what went out last, and round: no matter waits for ever behind those before it. The other slots
 // go before those of control, and leave them half of a letter.
-std::string Peers::next_words(Fellow& fellow) {
+std::string Peers::next_words(Fellow& fellow, bool& asks) {
   std::string said;
   const auto put = [&](bool control, Fellow::Matter& said_to, std::size_t room) {
     auto next = fellow.words.upper_bound(said_to);
@@ -495,6 +515,7 @@
       if (said.size() + next->second.size() > room) return;
       said += next->second;
       said_to = next->first;
+      if (const Slot slot = said_to.first; slot == Slot::asking || slot == Slot::control) asks = true;
       fellow.bytes -= next->first.second.size() + next->second.size();
       next = fellow.words.erase(next);
     }
@@ -506,7 +527,9 @@
 }
 
 void Peers::send(Nanos now, MemberId to, Fellow& fellow) {
-  const std::string said = next_words(fellow);
+  bool asks = false;
+  const std::string said = next_words(fellow, asks);
+  if (asks && fellow.asked_at < 0) fellow.asked_at = now;
   const Incarnation of = fellow.newest;
   const auto last = fellow.last.find(of);
   ++fellow.number;
--- a/peers/peers.hpp
+++ b/peers/peers.hpp
@@ -51,7 +51,8 @@
 class Peers {
  public:
   // What a word is about; one of a slot and a matter waits, the newest. Words of `control` may be larger, and
-  // never keep those of the other slots waiting for more than a letter. Of `telling`, none outlives its line.
+  // never keep those of the other slots waiting for more than a letter. Of `telling` and `control`, none
+  // outlives its line.
   enum class Slot : std::uint8_t { asking, answering, telling, control };
 
   // `figures`, spans in ns:
@@ -120,6 +121,7 @@
   };
   const Costs& costs() const { return costs_; }
   std::size_t lines() const { return lines_; } // that stand
+  Nanos silent() const { return silent_; }     // by the figures: the least patience
   Nanos beat() const;                          // as it is now, to those who ask for no rarer one
 
  private:
@@ -139,6 +141,9 @@
     std::uint64_t number = 0; // of the last letter
     // Letters that were sent and not answered, by number; of many only the first and the last count.
     std::deque<std::pair<std::uint64_t, Nanos>> unanswered;
+    Nanos asked_at = -1;     // a word that wants an answer went out on this line, and nothing was heard since
+    bool missed = false;     // it wrote without having heard what went out on this line long before
+    Nanos missed_since = -1; // that went out, and it has answered nothing since, on no line
     Hearing hearing = Hearing::unknown;
     Nanos heard_at = -1;
     words::Rhythm rhythm{};  // as it said last
@@ -163,8 +168,8 @@
   void send(Nanos now, MemberId to, Fellow& fellow);
   void down(Nanos now, Fellow& fellow);
   void end(Nanos now, MemberId of, Fellow& fellow);
-  void let_go(Fellow& fellow, bool tellings_only);
-  std::string next_words(Fellow& fellow);
+  void let_go(Fellow& fellow, bool stale_only);
+  std::string next_words(Fellow& fellow, bool& asks);
   Nanos patience(const Fellow& fellow) const;
   Nanos wake_of(MemberId of, const Fellow& fellow) const;
   void file(MemberId member, Fellow& fellow);
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -386,6 +386,148 @@
   }
 }
 
+// Lines on which TCP sends again and again, between members that promised little.
+void stalled() {
+  const std::vector<MemberId> two = members(1, 2);
+  const words::Rhythm rarely{100'000 * ms, 0, false};
+  const auto ask = [](int n) {
+    return words::ask(Epoch{1}, "t", AskNo{static_cast<std::uint64_t>(n)}, Token{5}, ms);
+  };
+  const auto up = [&](Driver& s, Nanos at) { // a line that takes what is written
+    s.to(at);
+    s.peers.connected(s.now, MemberId{2});
+    s.to(at);
+    s.peers.written(s.now, MemberId{2});
+  };
+  {
+    say("a word that asks, and nothing is heard for the time of silence, whatever was promised: hung up and "
+        "dialled again; what asks and answers waits for the new line, what tells and controls is dropped");
+    Driver s(two, two);
+    up(s, 0);
+    s.heard(2, 1, 1, 70, false, rarely);
+    s.to(20);
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", ask(1));
+    s.to(20);
+    s.peers.written(s.now, MemberId{2});
+    s.to(200); // a beat on the way
+    s.peers.written(s.now, MemberId{2});
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", ask(2));
+    s.to(200);
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", ask(3));
+    s.peers.say(MemberId{2}, Peers::Slot::answering, "t", words::grant(Incarnation{70}, "t", AskNo{9}, true));
+    s.peers.say(MemberId{2}, Peers::Slot::telling, "t", words::done("t", Token{6}, 0));
+    s.to(319);
+    std::printf("  until then: %d hung up\n", s.out.hang_ups);
+    s.to(320);
+    up(s, 400);
+    s.heard(2, 2, 5, 70, false, rarely);
+    s.to(490);
+    std::printf("  it answers: %d hung up, the member %s\n", s.out.hang_ups,
+                std::string(word_of(s.peers.hearing(MemberId{2}))).c_str());
+    s.out.quiet = true;
+    const auto waits = [&](const char* what) {
+      std::printf("  %zu words wait %s\n", s.peers.standing()[0].waiting, what);
+    };
+    s.peers.broken(s.now, MemberId{2});
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", ask(4));
+    s.peers.say(MemberId{2}, Peers::Slot::answering, "t", words::grant(Incarnation{70}, "t", AskNo{9}, true));
+    s.peers.say(MemberId{2}, Peers::Slot::control, "t", words::control("ab"));
+    waits("for a line");
+    for (const int before = s.out.dials; s.out.dials == before;) s.to(s.now / ms + 10);
+    s.peers.broken(s.now, MemberId{2});
+    waits("after a dial that came to nothing: none of control");
+  }
+  {
+    say("a word of control, the same; a beat without words asks for nothing");
+    Driver s(two, two);
+    s.out.words_too = false;
+    up(s, 0);
+    s.heard(2, 1, 1, 70, false, rarely);
+    s.to(50);
+    s.peers.say(MemberId{2}, Peers::Slot::control, "t", words::control("ab"));
+    s.to(50);
+    s.peers.written(s.now, MemberId{2});
+    s.to(60);
+    s.heard(2, 2, 2, 70, false, rarely);
+    s.out.quiet = true;
+    for (Nanos at = 150; at <= 1000; at += 10) {
+      s.to(at);
+      s.peers.written(s.now, MemberId{2});
+    }
+    s.out.quiet = false;
+    std::printf("  beats for the rest of a second: %d hung up\n", s.out.hang_ups);
+    s.peers.say(MemberId{2}, Peers::Slot::control, "t", words::control("ab"));
+    s.to(1000);
+    s.peers.written(s.now, MemberId{2});
+    s.out.quiet = true;
+    for (Nanos at = 1010; at <= 1290; at += 10) {
+      s.to(at);
+      s.peers.written(s.now, MemberId{2});
+    }
+    s.out.quiet = false;
+    s.to(1299);
+    s.to(1300);
+  }
+  {
+    say("it writes, and has not heard what went out longer ago than the time of silence: the line goes, not "
+        "yet the word that it hears; that goes by what it promised, over the new lines too");
+    Driver s(two, two);
+    s.out.words_too = false;
+    up(s, 0);
+    s.heard(2, 1, 0, 70, false, {500 * ms, 500 * ms, false});
+    s.to(299);
+    s.heard(2, 2, 0, 70, false, {500 * ms, 500 * ms, false});
+    s.to(299);
+    s.to(300);
+    s.heard(2, 3, 0, 70, false, {500 * ms, 500 * ms, false});
+    s.to(300);
+    up(s, 400);
+    s.heard(2, 4, 0, 70, false, {500 * ms, 500 * ms, false});
+    for (Nanos at = 450; at <= 1500; at += 50) {
+      s.to(at);
+      s.peers.written(s.now, MemberId{2});
+    }
+    s.heard(2, 5, s.peers.standing()[0].letters, 70, false, {500 * ms, 500 * ms, false});
+    say("deafness by what was promised, on one line");
+    Driver other(two, two);
+    other.out.words_too = false;
+    up(other, 0);
+    other.heard(2, 1, 1, 70, false, {500 * ms, 500 * ms, false});
+    other.to(100);
+    other.peers.written(other.now, MemberId{2});
+    other.heard(2, 2, 1, 70, false, {500 * ms, 500 * ms, false});
+    other.out.quiet = true;
+    for (Nanos at = 110; at < 1590; at += 10) {
+      other.to(at);
+      other.peers.written(other.now, MemberId{2});
+      if (at == 390) other.heard(2, 3, 1, 70, false, {500 * ms, 500 * ms, false});
+    }
+    other.out.quiet = false;
+    other.to(1599);
+    other.to(1600);
+  }
+  {
+    say("a voter that first hears a member long after its own start: well; deaf where it isn't reached "
+        "within "
+        "the time of silence");
+    Driver s({MemberId{2}, MemberId{3}}, {MemberId{1}}, {{"peers.rest_least", 400e6}});
+    s.to(5000);
+    s.heard(2, 1, 0, 70, false, rarely);
+    s.to(5000);
+    s.peers.broken(s.now, MemberId{2});
+    s.to(5299);
+    s.to(5310);
+    say("it goes, and comes again in another life long after: the same");
+    s.out.quiet = true;
+    s.heard(2, 2, 0, 70, true);
+    s.to(5320);
+    s.to(9000);
+    s.out.quiet = false;
+    s.heard(2, 1, 0, 71, false, rarely);
+    s.to(9000);
+  }
+}
+
 // As bytes: nothing that was spoilt is taken.
 void bytes() {
   say("words as bytes: each kind, in one letter");
@@ -471,6 +613,7 @@
 int main() {
   steps();
   changing();
+  stalled();
   bytes();
   detectors();
 }
