--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -526,6 +526,21 @@
     s.heard(2, 1, 0, 71, false, rarely);
     s.to(9000);
   }
+  {
+    say("wanted again while a dial rests: unreached from then on");
+    Driver s(two, two, {{"peers.by_choice", 1.0}, {"peers.rest_least", 4000e6}, {"peers.rest_most", 4000e6}});
+    s.out.words_too = false;
+    s.peers.keep(0, MemberId{2}, true);
+    up(s, 0);
+    s.heard(2, 1, 1, 70, false, rarely);
+    s.peers.keep(100 * ms, MemberId{2}, false);
+    s.to(100);
+    s.to(1000);
+    s.peers.keep(1000 * ms, MemberId{2}, true);
+    s.to(1000);
+    s.to(1299);
+    s.to(1300);
+  }
 }
 
 // As bytes: nothing that was spoilt is taken.
