--- a/peers/peers.cpp
+++ b/peers/peers.cpp
@@ -513,9 +513,11 @@
       if (first == last) return;
       if (next == last) next = first;
       if (said.size() + next->second.size() > room) return;
+      const Slot slot = next->first.first;
+      const bool wants = (slot == Slot::asking || slot == Slot::control) && words::wants_answer(next->second);
       said += next->second;
       said_to = next->first;
-      if (const Slot slot = said_to.first; slot == Slot::asking || slot == Slot::control) asks = true;
+      asks = asks || wants;
       fellow.bytes -= next->first.second.size() + next->second.size();
       next = fellow.words.erase(next);
     }
--- a/peers/words.cpp
+++ b/peers/words.cpp
@@ -137,6 +137,13 @@
   return word([&](wire::Letter& letter) { letter.add_control(bytes.data(), bytes.size()); });
 }
 
+// By the part's first byte, the tag of its field in a letter.
+bool wants_answer(std::string_view part) {
+  constexpr auto tag = [](int field) { return static_cast<char>(field << 3 | 2); }; // with its length
+  return !part.empty() && (part.front() == tag(wire::Letter::kAskFieldNumber) ||
+                           part.front() == tag(wire::Letter::kControlFieldNumber));
+}
+
 bool read_hello(std::string_view payload, Speaker& into) {
   std::string_view bytes;
   wire::Hello hello;
--- a/peers/words.hpp
+++ b/peers/words.hpp
@@ -47,6 +47,9 @@
 std::string voters(Epoch on_file, const VoterList& list);
 std::string control(std::string_view bytes); // as the control part has them; at most `most_control`
 
+// Whether such a part is answered at once: an ask or a word of control; a release is only told.
+bool wants_answer(std::string_view part);
+
 // What a letter says, in the order of the kinds. The views hold until the call returns.
 class Listener {
  public:
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -438,7 +438,7 @@
     waits("after a dial that came to nothing: none of control");
   }
   {
-    say("a word of control, the same; a beat without words asks for nothing");
+    say("a word of control, the same; a beat without words and a release ask for nothing");
     Driver s(two, two);
     s.out.words_too = false;
     up(s, 0);
@@ -450,12 +450,13 @@
     s.to(60);
     s.heard(2, 2, 2, 70, false, rarely);
     s.out.quiet = true;
+    s.peers.say(MemberId{2}, Peers::Slot::asking, "t", words::release("t", AskNo{2}));
     for (Nanos at = 150; at <= 1000; at += 10) {
       s.to(at);
       s.peers.written(s.now, MemberId{2});
     }
     s.out.quiet = false;
-    std::printf("  beats for the rest of a second: %d hung up\n", s.out.hang_ups);
+    std::printf("  a release, and beats for the rest of a second: %d hung up\n", s.out.hang_ups);
     s.peers.say(MemberId{2}, Peers::Slot::control, "t", words::control("ab"));
     s.to(1000);
     s.peers.written(s.now, MemberId{2});
