--- /dev/null
+++ b/control/follower.hpp
@@ -0,0 +1,174 @@
+// A server's side of control: which two control members it follows, and the state that it has from them.
+// Decides only: no I/O, no clock, one time with each call; what is to be said goes out by `FollowerOrders`.
+// feed.hpp has what the other side gives, docs/control.md the ways weighed.
+//
+// Never an older state after a newer one, whoever gives it: a delta is taken only if it goes on from what is
+// here, a renewal only if it is not of before it, and both only as a whole. Who is behind gives nothing that
+// is taken. Words of another life or attachment are passed over, so late and doubled ones do no harm.
+//
+// Two lines: the primary gives, the secondary tells its version only. Nearest first: same zone, same region,
+// the others; among equals by chance from the seed, so that all followers spread evenly. A control member
+// that is silent, blank, or has told nothing while the other is ahead is left, and rests, longer each time.
+// A nearer one that may be asked again is tried as the secondary, and is the primary once it was well for
+// `control.settle`.
+//
+// An entry that `check` refuses is told, counted, and leaves what was in force for its key; the version goes
+// on. (After a start there is nothing that was in force: such a key is absent until it is written anew.)
+// With no control member heard, the last state stays, and `age` says how old it is.
+//
+// Bounds: what is staged and what is held each as entries.hpp, scopes as following.hpp. Times: ns of the
+// caller's clock. Nothing that is ordered may call back within the order.
+// Errors: the constructor throws std::invalid_argument with the name of a figure that is missing or
+// senseless, or where scopes or control members are. What comes from others and makes no sense is counted and
+// changes nothing.
+#pragma once
+
+#include "following.hpp"
+
+#include <optional>
+#include <set>
+
+namespace cometshift {
+
+enum class LeftWhy { silent, blank, behind, lost, nearer }; // why a control member is no longer followed so
+std::string_view word_of(LeftWhy why);
+
+class FollowerOrders {
+ public:
+  virtual ~FollowerOrders() = default;
+  // To a control member; feed.hpp takes these.
+  virtual void follow(MemberId to, FollowNo number, bool primary, const Position& at,
+                      const std::vector<ScopeHeld>& scopes) = 0;
+  virtual void have(MemberId to, FollowNo number, const Position& at) = 0;
+  virtual void compare(MemberId to, FollowNo number, Version at,
+                       const std::vector<std::uint64_t>& digests) = 0;
+  virtual void unfollow(MemberId to, FollowNo number) = 0;
+  // To the server itself. Why it can't take that entry; empty: it can.
+  virtual std::string check(const Entry& entry) = 0;
+  virtual void refused(const Entry& entry, std::string_view why) = 0;
+  // The state is of that version now. `changed`: what is in force otherwise than before, by key; deleted
+  // ones say so. Scopes that are followed no more don't count as changed.
+  virtual void taken(Version version, const std::vector<const Entry*>& changed) = 0;
+  // A line was left, or a nearer one made the primary; for the log.
+  virtual void left(MemberId control, LeftWhy why) = 0;
+};
+
+class Follower {
+ public:
+  struct Control { // a control member, as the operator file names it
+    MemberId member{};
+    std::string region, zone;
+  };
+  struct Place {
+    std::string region, zone;
+  };
+
+  // `figures`, spans in ns:
+  // - control.beat: each control member followed is told at least so often how far this is
+  // - control.silent: a control member that is not heard so long is left; over two beats
+  // - control.behind: and one that gave nothing so long while the other was ahead
+  // - control.settle: a nearer one is well so long before it is the primary
+  // - control.rest_least, control.rest_most: until one that was left is tried again, doubled each time
+  // - control.compare: digests are told so often
+  // - and those of entries.hpp
+  Follower(Nanos now, Incarnation self, const Place& place, const std::vector<Control>& controls,
+           std::vector<std::string> scopes, const Given& figures, std::uint64_t seed, FollowerOrders& orders);
+  Follower(const Follower&) = delete;
+  Follower& operator=(const Follower&) = delete;
+
+  // Others from now on. Empty: done; else why not, and nothing has changed.
+  std::string_view set_scopes(Nanos now, std::vector<std::string> scopes);
+
+  // ---- what control members say, as FeedOrders; `to`: this life
+  void delta(Nanos now, MemberId from, Incarnation to, FollowNo number, Version since, Version upto,
+             bool whole, Nanos age, const std::vector<Entry>& entries);
+  void renewal(Nanos now, MemberId from, Incarnation to, FollowNo number, Version at,
+               const std::vector<std::uint16_t>& scopes, Version since, Version upto,
+               const std::vector<Entry>& entries);
+  void beat(Nanos now, MemberId from, Incarnation to, FollowNo number, Version committed, Nanos age);
+  void rest(Nanos now, MemberId from, Incarnation to, FollowNo number, Nanos rest);
+  void elsewhere(Nanos now, MemberId from, Incarnation to, FollowNo number);
+  void again(Nanos now, MemberId from, Incarnation to, FollowNo number);
+  void lost(Nanos now, MemberId control); // the link knows that it is gone; sooner than by its silence
+
+  // ---- the state
+  // What is in force of a key; nullptr: nothing.
+  const Entry* find(std::string_view key) const;
+  void in(std::string_view scope, const std::function<bool(const Entry&)>& each) const;
+  Version version() const { return at_.taken; }
+  // Since a control member last said that this state is the newest; -1: never, in this life.
+  Nanos age(Nanos now) const { return current_at_ < 0 ? -1 : now - current_at_; }
+  const Position& position() const { return at_; }
+
+  // ---- time
+  Nanos next_wake() const; // -1: none
+  void due(Nanos now);
+
+  struct Line {
+    MemberId member{};
+    bool primary = false, heard = false;
+    Nanos since = 0, heard_at = 0;
+    Version committed{}; // as it last told
+  };
+  std::vector<Line> lines() const; // the primary first
+  struct Counts {
+    std::uint64_t deltas = 0, parts = 0, renewals = 0, refused = 0, gaps = 0, older = 0, senseless = 0,
+                  foreign = 0, moves = 0; // foreign: words of another life or attachment
+  };
+  const Counts& counts() const { return counts_; }
+  std::size_t keys_refused() const { return in_force_.size(); } // whose newest entry is not in force
+
+ private:
+  struct Member {
+    MemberId id{};
+    int nearness = 0;        // 0: same zone, 1: same region, 2: another
+    std::uint32_t order = 0; // among equals, by chance
+    Nanos rests_until = 0;
+    int tries = 0; // that came to nothing, in a row
+    // As a line:
+    bool line = false, primary = false, heard = false;
+    FollowNo number{};
+    Nanos since = 0, well_since = 0, heard_at = 0, next_have = 0, settle = 0;
+    Nanos ahead_since = -1; // it has told a version that is not here
+    Version committed{};
+  };
+  struct Stage {
+    std::map<std::string, Entry, std::less<>> entries;
+    std::set<std::string, std::less<>> replaced; // scopes
+    std::vector<std::uint16_t> renewal;          // as told, while the renewal goes on
+    std::size_t bytes = 0;
+  };
+
+  Member* heard(Nanos now, MemberId from, Incarnation to, FollowNo number);
+  Member* primary();
+  Member* secondary();
+  void choose(Nanos now);
+  void attach(Nanos now, Member& member, bool as_primary);
+  void leave(Nanos now, Member& member, LeftWhy why);
+  void turn(Nanos now, LeftWhy why); // the secondary is the primary now
+  void answer(Nanos now, Member& member);
+  void told(Nanos now, Member& member, Version committed, Nanos age);
+  bool stage(const std::vector<Entry>& entries, Version since, Version upto);
+  void take_stage(Nanos now);
+  void drop_stage();
+  std::vector<ScopeHeld> held() const;
+
+  FollowerOrders& orders_;
+  Incarnation self_;
+  Pcg chance_;
+  Given figures_;
+  Nanos beat_, silent_, behind_, settle_, rest_least_, rest_most_, compare_;
+  std::size_t most_entries_, most_bytes_;
+  std::vector<Member> members_; // nearest first
+  std::vector<std::string> scopes_;
+  std::set<std::string, std::less<>> held_; // scopes of which the state has all up to `taken`
+  Entries state_;                           // as given, those that were refused too
+  std::map<std::string, std::optional<Entry>, std::less<>> in_force_; // of keys whose newest was refused
+  Position at_;
+  Stage stage_;
+  std::uint64_t numbers_ = 0;
+  Nanos current_at_ = -1, progress_at_ = 0, next_compare_ = 0;
+  Counts counts_;
+};
+
+} // namespace cometshift
