--- a/control/directory.hpp
+++ b/control/directory.hpp
@@ -4,9 +4,9 @@
 //
 // Each control member writes one part, of the servers that follow it, and counts its changes; the parts are
 // told among control members, as deltas by that count, with a digest of the part. A part is taken as its
-// owner tells it, newest life and count. Where several tell of one member, the newest incarnation counts;
-// in it, well before left before silent, then the newest attachment. (A member has two lines: one that it
-// gave up must not hide the other.) A part whose owner is not heard counts as silent, and is forgotten.
+// owner tells it, newest life and count. Where several tell of one member, well goes before silent and left,
+// then the newest attachment counts: a member has two lines, and one that it gave up must not hide the other.
+// A part whose owner is not heard counts as silent, and is forgotten.
 // Servers get the summary by zone only: the whole would cost each more than it may spend when half of the
 // fleet is replaced in seconds.
 //
@@ -31,7 +31,7 @@
 struct MemberRecord {
   MemberId member{};
   Incarnation incarnation{};
-  FollowNo attached{}; // newest in an incarnation
+  FollowNo attached{}; // the newest
   std::string address, zone;
   std::uint64_t since = 0; // Unix ms
   Presence presence = Presence::well;
--- a/control/follower.hpp
+++ b/control/follower.hpp
@@ -70,6 +70,8 @@
   // - control.settle: a nearer one is well so long before it is the primary
   // - control.rest_least, control.rest_most: until one that was left is tried again, doubled each time
   // - control.compare: digests are told so often
+  // - control.first_number: where attachments begin to count, as Unix time in ms, so that of two lives the
+  //   later has the greater numbers. A hint, for the directory
   // - and those of entries.hpp
   Follower(Nanos now, Incarnation self, const Place& place, const std::vector<Control>& controls,
            std::vector<std::string> scopes, const Given& figures, std::uint64_t seed, FollowerOrders& orders);
--- a/control/following.hpp
+++ b/control/following.hpp
@@ -6,14 +6,16 @@
 
 namespace cometshift {
 
-using FollowNo = Id<struct FollowNoTag, std::uint64_t>; // of an attachment, rising in one incarnation
+// Of an attachment: rises in one incarnation, and over incarnations as far as Unix time did.
+using FollowNo = Id<struct FollowNoTag, std::uint64_t>;
 
 // How far a follower is. Versions are places of the one order, so a position counts with any control member.
 struct Position {
-  Version taken{};    // of the state that it goes by
-  Version staged{};   // parts are staged up to it, and are taken with the last; not under `taken`
-  Version renewing{}; // of the state that a renewal under way gives; none: there is no renewal
-  Version renewed{};  // that renewal has come so far
+  Version taken{};            // of the state that it goes by
+  Version staged{};           // parts are staged up to it, and are taken with the last; not under `taken`
+  Version renewing{};         // of the state that a renewal under way gives; none: there is no renewal
+  Version renewed{};          // that renewal has come so far
+  std::uint32_t renewals = 0; // that came to their end, in this life
   bool operator==(const Position&) const = default;
 };
 
