--- a/control/feed.hpp
+++ b/control/feed.hpp
@@ -117,10 +117,9 @@
     Incarnation of{};
     FollowNo number{};
     bool primary = false;
-    std::vector<ScopeHeld> scopes;
+    std::vector<ScopeHeld> scopes;  // as it last told
     std::vector<std::string> names; // of them
     Position at;
-    Version digests_at{}; // of `scopes`
     Bucket bucket;
     Nanos heard_at = 0, next_beat = 0, wake = -1;
     // A part under way: what is to be there when it is answered.
@@ -128,28 +127,40 @@
     Nanos sent_at = 0;
     Position expects;
     int repeats = 0;
-    bool dirty = false; // something of its scopes may be newer than what it has
-    // A renewal: `ticket` in line for it, or `renewing`.
+    bool dirty = false;      // something of its scopes may be newer than what it has
+    bool owes_whole = false; // what it has staged is to be taken, though nothing may follow
+    // A renewal: with a `ticket` in line for it, or under way.
     bool renews = false, renewing = false;
     std::uint64_t ticket = 0;
+    Nanos rested_until = 0, renewing_since = 0;
     Version renewal_at{};
+    std::uint32_t renewals_before = 0;
     std::vector<std::uint16_t> renewal; // scopes that it replaces
     std::vector<std::string> renewal_names;
-    std::uint64_t waits = 0; // ticket for credit of all; 0: none
+    // Credit: its own comes then; of all, its ticket in line, and for how much. 0: it is not in line.
+    Nanos credit_at = -1;
+    std::uint64_t waits = 0;
+    std::size_t wants = 0;
   };
 
   Follower* known(Nanos now, MemberId from, Incarnation of, FollowNo number);
-  void drop(MemberId id, Follower& follower);
+  void drop(MemberId id, Follower& follower, Nanos now);
+  Bucket bucket_of(Nanos now, MemberId id);
+  bool reached(const Follower& follower) const;
+  bool lacks(const Follower& follower) const;
+  void look_at_digests(Nanos now, MemberId id, Follower& follower, Version at);
+  std::uint64_t digest(const std::string& scope);
+  void needs_renewal(Nanos now, MemberId id, Follower& follower);
+  void begin_renewal(Nanos now, Follower& follower);
+  void end_renewal(Nanos now, Follower& follower, bool done);
+  void admit(Nanos now);
+  Nanos rest_of(const Follower& follower);
   void plan(MemberId id, Follower& follower, Nanos at);
   void turn(Nanos now, MemberId id, Follower& follower);
   bool pay(Nanos now, MemberId id, Follower& follower, std::size_t bytes);
-  void needs_renewal(Nanos now, MemberId id, Follower& follower);
-  void end_renewal(Follower& follower);
-  void admit(Nanos now);
-  bool send_renewal(Nanos now, MemberId id, Follower& follower);
-  bool send_delta(Nanos now, MemberId id, Follower& follower);
-  void answered(Nanos now, MemberId id, Follower& follower, const Position& at);
-  std::uint64_t digest(const std::string& scope);
+  bool pay_beat(Nanos now, Follower& follower);
+  void send_renewal(Nanos now, MemberId id, Follower& follower);
+  void send_delta(Nanos now, MemberId id, Follower& follower);
   Nanos answer_time(const Follower& follower) const;
   Nanos age(Nanos now) const { return current_at_ < 0 ? -1 : now - current_at_; }
 
@@ -159,16 +170,21 @@
   Nanos beat_, silent_, answer_;
   std::size_t most_part_, most_followers_, most_whole_;
   double rate_, burst_;
+  Nanos full_after_; // a follower's credit, from none
   Bucket total_;
+  Nanos credit_wake_ = -1; // there is enough of it for the first in line
+  MemberId serving_{};     // it was first
   bool blank_ = true;
   Nanos current_at_ = -1;
   std::map<MemberId, Follower> followers_;
   std::map<std::string, std::set<MemberId>, std::less<>> by_scope_;
   std::map<std::string, std::uint64_t, std::less<>> digests_; // of scopes that are followed, as they are now
   std::set<std::pair<Nanos, MemberId>> wakes_;
+  std::map<MemberId, Bucket> past_; // of those that went, until they would be full
+  std::deque<std::pair<Nanos, MemberId>> past_order_;
   std::map<std::uint64_t, MemberId> line_;        // for a renewal
   std::map<std::uint64_t, MemberId> credit_line_; // for credit of all
-  std::uint64_t tickets_ = 0;
+  std::uint64_t tickets_ = 0;                     // in the order of their numbers
   std::size_t renewing_ = 0;
   Nanos renewal_time_; // a mean of those before, for what is told to those in line
   Counts counts_;
