Entries held by key, version and scope; the header of a control member's part in the one order

Entries gain raise_floor: a state that was transferred whole has the floor of the one that told it, so that its holder tells no deltas from before deletions it never saw. Digests are kept up as sums by scope.

--- /dev/null
+++ b/control/entries.cpp
@@ -0,0 +1,160 @@
+#include "entries.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace cometshift {
+
+namespace {
+
+std::uint64_t digest_of(const Entry& entry) {
+  const std::uint64_t version[2] = {entry.version.token.raw, entry.version.number};
+  return XXH3_64bits_withSeed(version, sizeof version, XXH3_64bits(entry.key.data(), entry.key.size()));
+}
+std::size_t size_of(const Entry& entry) { return entry.key.size() + entry.value.size(); }
+
+} // namespace
+
+std::string_view scope_of(std::string_view key) {
+  const std::size_t end = key.rfind('/');
+  return end == std::string_view::npos ? std::string_view() : key.substr(0, end);
+}
+
+Entries::Entries(const Given& figures) {
+  most_entries_ = static_cast<std::size_t>(needed(figures, "control.most_entries", 1));
+  most_bytes_ = static_cast<std::size_t>(needed(figures, "control.most_bytes", 1));
+  most_key_ = static_cast<std::size_t>(needed(figures, "control.most_key", 1));
+  most_value_ = static_cast<std::size_t>(needed(figures, "control.most_value", 0));
+  most_deleted_ = static_cast<std::size_t>(needed(figures, "control.most_deleted", 0));
+}
+
+std::string_view Entries::why_not(const Entry& entry) const {
+  if (entry.key.empty() || entry.key.back() == '/') return "the key has no name";
+  if (entry.key.size() > most_key_) return "the key is too long";
+  if (entry.value.size() > most_value_) return "the value is too long";
+  if (entry.deleted) return entry.value.empty() ? std::string_view() : "a deletion has no value";
+  const Entry* held = find(entry.key);
+  const bool instead = held && !held->deleted;
+  if (!instead && count() >= most_entries_) return "no room for another entry";
+  if (bytes_ - (instead ? size_of(*held) : 0) + size_of(entry) > most_bytes_) return "no room for its bytes";
+  return {};
+}
+
+void Entries::leave_out(const Entry& entry) {
+  by_version_.erase(entry.version);
+  if (entry.deleted) {
+    gone_.erase(entry.version);
+  } else {
+    bytes_ -= size_of(entry);
+  }
+  const auto scope = by_scope_.find(scope_of(entry.key));
+  scope->second.by_version.erase(entry.version);
+  if (!entry.deleted) scope->second.digest -= digest_of(entry), --scope->second.live;
+  if (scope->second.by_version.empty()) by_scope_.erase(scope);
+}
+
+bool Entries::take(Entry entry) {
+  // Against two entries under one version, too: a table would point at what is gone.
+  if (entry.version == Version{} || by_version_.contains(entry.version) || !why_not(entry).empty())
+    return false;
+  const auto held = by_key_.find(entry.key);
+  if (held != by_key_.end()) {
+    if (held->second.version >= entry.version) return false;
+    leave_out(held->second);
+  }
+  std::string key = entry.key;
+  Entry& kept = by_key_[std::move(key)] = std::move(entry);
+  last_ = std::max(last_, kept.version);
+  by_version_[kept.version] = &kept;
+  const std::string_view name = scope_of(kept.key);
+  auto scope = by_scope_.find(name);
+  if (scope == by_scope_.end()) scope = by_scope_.emplace(std::string(name), Scope{}).first;
+  scope->second.by_version[kept.version] = &kept;
+  if (!kept.deleted) {
+    bytes_ += size_of(kept);
+    scope->second.digest += digest_of(kept), ++scope->second.live;
+    return true;
+  }
+  gone_.insert(kept.version);
+  while (gone_.size() > most_deleted_) {
+    const Version oldest = *gone_.begin();
+    const Entry& forgotten = *by_version_.at(oldest);
+    floor_ = std::max(floor_, oldest);
+    leave_out(forgotten);
+    by_key_.erase(by_key_.find(forgotten.key));
+  }
+  return true;
+}
+
+void Entries::reached(Version version) { last_ = std::max(last_, version); }
+
+void Entries::raise_floor(Version version) { floor_ = std::max(floor_, version); }
+
+void Entries::clear() {
+  by_version_.clear();
+  by_scope_.clear();
+  by_key_.clear();
+  gone_.clear();
+  bytes_ = 0;
+  last_ = floor_ = Version{};
+}
+
+const Entry* Entries::find(std::string_view key) const {
+  const auto at = by_key_.find(key);
+  return at == by_key_.end() ? nullptr : &at->second;
+}
+
+void Entries::since(Version after, Version to, const std::vector<std::string>& scopes,
+                    const std::function<bool(const Entry&)>& each) const {
+  if (scopes.empty()) {
+    for (auto at = by_version_.upper_bound(after); at != by_version_.end() && at->first <= to; ++at)
+      if (!each(*at->second)) return;
+    return;
+  }
+  using At = std::map<Version, const Entry*>::const_iterator;
+  std::vector<std::pair<At, At>> heads; // a heap, the oldest on top
+  const auto newer = [](const auto& a, const auto& b) { return a.first->first > b.first->first; };
+  for (const std::string& name : std::set<std::string>(scopes.begin(), scopes.end())) {
+    const auto scope = by_scope_.find(name);
+    if (scope == by_scope_.end()) continue;
+    const At first = scope->second.by_version.upper_bound(after);
+    if (first != scope->second.by_version.end()) heads.emplace_back(first, scope->second.by_version.end());
+  }
+  std::make_heap(heads.begin(), heads.end(), newer);
+  while (!heads.empty()) {
+    std::pop_heap(heads.begin(), heads.end(), newer);
+    auto& [at, end] = heads.back();
+    if (at->first > to || !each(*at->second)) return;
+    if (++at == end)
+      heads.pop_back();
+    else
+      std::push_heap(heads.begin(), heads.end(), newer);
+  }
+}
+
+void Entries::in(std::string_view scope, const std::function<bool(const Entry&)>& each) const {
+  const auto known = by_scope_.find(scope);
+  if (known == by_scope_.end()) return;
+  std::vector<const Entry*> live;
+  live.reserve(known->second.live);
+  for (const auto& [version, entry] : known->second.by_version)
+    if (!entry->deleted) live.push_back(entry);
+  std::sort(live.begin(), live.end(), [](const Entry* a, const Entry* b) { return a->key < b->key; });
+  for (const Entry* entry : live)
+    if (!each(*entry)) return;
+}
+
+std::vector<std::string> Entries::scopes() const {
+  std::vector<std::string> names;
+  for (const auto& [name, scope] : by_scope_)
+    if (scope.live > 0) names.push_back(name);
+  return names;
+}
+
+std::uint64_t Entries::digest(std::string_view scope) const {
+  const auto known = by_scope_.find(scope);
+  return known == by_scope_.end() ? 0 : known->second.digest;
+}
+
+} // namespace cometshift
--- a/control/entries.hpp
+++ b/control/entries.hpp
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,8 @@
   bool take(Entry entry);
   // All up to `version` is held now, though the last of it is of scopes that are not: `last` goes up to it.
   void reached(Version version);
+  // What is held was told by one who forgot deletions up to this version: the floor is at least there.
+  void raise_floor(Version version);
   void clear(); // everything, as after a start
 
   Version last() const { return last_; }
@@ -62,18 +65,27 @@
   // Of one scope, by key; deletions are left out.
   void in(std::string_view scope, const std::function<bool(const Entry&)>& each) const;
   std::vector<std::string> scopes() const;
-  // XXH3 over keys and versions of what a scope holds, deletions left out: equal where two hold the same.
+  // XXH3 over keys and versions of what a scope holds, deletions left out: equal where two hold the same;
+  // kept up with each entry, so that asking costs nothing. 0: it holds nothing.
   std::uint64_t digest(std::string_view scope) const;
 
-  std::size_t count() const { return by_key_.size() - deleted_; }
-  std::size_t bytes() const { return bytes_; }
+  std::size_t count() const { return by_key_.size() - gone_.size(); }
+  std::size_t bytes() const { return bytes_; } // of keys and values, deletions left out
 
  private:
   std::size_t most_entries_, most_bytes_, most_key_, most_value_, most_deleted_;
   std::map<std::string, Entry, std::less<>> by_key_;
   std::map<Version, const Entry*> by_version_;
-  std::map<std::string, std::map<Version, const Entry*>, std::less<>> by_scope_;
-  std::size_t deleted_ = 0, bytes_ = 0;
+  struct Scope {
+    std::map<Version, const Entry*> by_version;
+    std::size_t live = 0;     // deletions left out
+    std::uint64_t digest = 0; // the sum of theirs, so that it doesn't matter in which order they came
+  };
+  void leave_out(const Entry& entry); // of all tables but the one by key
+
+  std::map<std::string, Scope, std::less<>> by_scope_;
+  std::set<Version> gone_; // deletions
+  std::size_t bytes_ = 0;
   Version last_{}, floor_{};
 };
 
--- /dev/null
+++ b/control/replica.cpp
@@ -0,0 +1,1 @@
+#include "replica.hpp"
--- /dev/null
+++ b/control/replica.hpp
@@ -0,0 +1,343 @@
+// One control member's part in the one order of writes: replication in memory, without a disk. The lease
+// "control" (leases.hpp) says who writes, its fencing token is the term. Decides only: no I/O, no clock, one
+// time with each call; what is to be said goes out by `ReplicaOrders`. docs/control-order.md has the argument
+// in full, tests/control_replica.cpp plays it.
+//
+// Why there are never two orders, in short. (1) A version (token, number) is written once, by the holder of
+// that token, behind one predecessor: two logs that share a version are the same up to it. (2) A member that
+// promised a token takes nothing of smaller ones. (3) A write is committed when a majority of the voters hold
+// it, and one of the writer's own token. (4) A writer begins with the log of the greatest last version among
+// answers that have promises of a majority. Any two majorities share a voter, so that log has all that was
+// committed. (5) As voters forget at a start, a vote is that of one life, (member, incarnation), and which
+// lives count is itself written in that order, as the roster: a life counts where every roster that may be in
+// force names it. A new life gets there by a committed roster only, so by a majority of the others, when it
+// holds all up to it. A promise or an ack of a life that is over so never stands in for one that forgot.
+// None of this takes a clock; `until` of the lease only stops a writer that would come to nothing.
+//
+// The way out where a majority of the voters were blank at once: all voters of the list have answered, twice
+// in the same lives, so that all that they still hold is seen at one moment; the writer begins with the most
+// that any control member that answered has, and a new roster. What only lost lives held is gone; `began`
+// tells it. That a writer from before does not go on beside it rests on the lease, so on clocks. A fleet's
+// first start is the same.
+//
+// Not supported: another list of voters while running. All control members have to be stopped and started
+// with the new list; then what they held is gone. (Two lists need joint majorities, as voters.hpp has them.)
+//
+// Bounds: figures below. Times and spans: ns, of one clock that never goes back. Ownership: a view or a
+// reference holds until the call returns. Nothing that is ordered may call back within the order.
+// Errors: the constructor throws std::invalid_argument with what is senseless; what comes from others and
+// makes no sense is counted and changes nothing. All control members need the same bounds of entries.
+//
+// Sources: Oki and Liskov 1988, Liskov and Cowling 2012 (Viewstamped Replication, Revisited), Lamport 1998
+// (Paxos), Ongaro and Ousterhout 2014 (Raft: log matching, commit by the own term only), Michael et al. 2017
+// (recovery without a disk, crash vectors), Burrows 2006 (Chubby's sequencers).
+#pragma once
+
+#include "entries.hpp"
+#include "leases.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cometshift {
+
+using PutNo = Id<struct PutNoTag, std::uint64_t>; // of a put, rising in one incarnation; 0: none
+
+// Of the scope that operators can't write to: the roster is an entry too, so that all members get it.
+constexpr std::string_view control_scope = "control", roster_key = "control/roster";
+
+// Which lives of the voters count.
+struct Roster {
+  std::map<MemberId, Incarnation> lives;
+  Token since{}; // the order was begun anew under this token, after a first start or a loss
+  bool operator==(const Roster&) const = default;
+};
+std::string text_of(const Roster& roster);
+std::optional<Roster> roster_in(std::string_view text); // nothing: not a roster
+
+// An entry on its way through the log, and whose put it was.
+struct Record {
+  Entry entry;
+  Incarnation of{}; // of entry.writer
+  PutNo put{};      // 0: the writer's own
+  bool operator==(const Record&) const = default;
+};
+
+// What a member says of its log when it promises.
+struct LogStanding {
+  Version last{}, committed{};
+  // The newest committed roster and those behind it in the log, as entries' values, in order.
+  std::vector<std::string> rosters;
+};
+
+struct Append {
+  Token token{};
+  std::uint64_t mark = 0; // echoed by the answer; rising for each member
+  Version log_from{};     // what is older than that the writer can only tell by chunks
+  Version previous{};     // what stands before the first of the records
+  Version committed{};
+  std::vector<Record> records;
+};
+
+// A piece of a member's state and then of its log, in the order of versions. Of what is committed only the
+// newest of each key is told.
+struct Chunk {
+  Token token{};
+  Version base{}; // what the receiver has: told from there; {}: from nothing
+  Version from{}; // entries after that
+  Version to{};   // up to there
+  Version floor{}, committed{};
+  bool last = false;   // `to` is the end of the log
+  bool no_way = false; // from that base it can't be told
+  std::vector<Record> records;
+};
+
+enum class PutEnd {
+  done,    // at a version, for good
+  refused, // and never done
+  unknown  // it may be done, or come to be
+};
+std::string_view word_of(PutEnd end);
+
+// A put on its way from the member where it came to the writer.
+struct PassedPut {
+  PutNo number{};
+  PutNo oldest{}; // smaller ones are ended there
+  std::string key, value;
+  bool deleted = false;
+  // Only if the newest entry of the key has this version; {}: only if there is none, or a deletion.
+  std::optional<Version> expected;
+};
+
+class ReplicaOrders {
+ public:
+  virtual ~ReplicaOrders() = default;
+  // ---- to be said to another control member. `of`: to this incarnation of it only.
+  virtual void prepare(MemberId to, Token token, std::uint32_t round) = 0;
+  virtual void promise(MemberId to, Incarnation of, Token token, std::uint32_t round,
+                       const LogStanding& standing) = 0;
+  virtual void refuse(MemberId to, Incarnation of, Token token, Token seen) = 0; // a greater one is promised
+  virtual void append(MemberId to, const Append& append) = 0;
+  // `matched`: all up to there is as the writer has it; with `gap`: go back to there.
+  virtual void appended(MemberId to, Incarnation of, Token token, std::uint64_t mark, Version matched,
+                        bool gap) = 0;
+  // Tell me your state and log after `cursor`, of which I have `base`, in the order begun under `since`.
+  virtual void fetch(MemberId to, Token token, Version base, Version cursor, Token since) = 0;
+  virtual void chunk(MemberId to, Incarnation of, const Chunk& chunk) = 0;
+  virtual void pass(MemberId to, Incarnation of, Token token, const PassedPut& put) = 0;
+  virtual void answer(MemberId to, Incarnation of, Token token, PutNo put, PutEnd end, Version version,
+                      std::string_view why) = 0;
+
+  // ---- to this member's own parts
+  // Why the caller can't take such an entry; empty: it can. Asked of the writer before it writes.
+  virtual std::string why_not(const Entry& entry) = 0;
+  // `entries()` has it now; in the order of versions.
+  virtual void committed(const Record& record) = 0;
+  virtual void replaced() = 0; // `entries()` is another, of a later version, by a transfer
+  virtual void ended(PutNo put, PutEnd end, Version version, std::string_view why) = 0;
+  // This member is the writer in office. `after_loss`: begun anew by the word of all voters; what only lost
+  // lives held is gone.
+  virtual void began(Token token, bool after_loss) = 0;
+  virtual void stepped_down(Token token) = 0; // after `began` only
+  // There is a greater token than this holder's: for Leases::refused_by_target.
+  virtual void superseded(Token token, Token seen) = 0;
+};
+
+class Replica {
+ public:
+  // `members`: all control members; `voters`: an odd number of these, the same list everywhere. Figures,
+  // besides those of Entries; spans in ns:
+  // - control.beat: the writer says something to each member at least so often
+  // - control.again: what is not answered is said again after that
+  // - control.batch: writes wait so long for others to go with them; 0 is allowed
+  // - control.grace: members that don't vote are waited for so long where voters were lost
+  // - control.patience: a member whose state is fetched and that says nothing for so long is given up
+  // - control.put_timeout: a put that is not ended by then is unknown, or refused if it never left
+  // - control.most_puts: of this member, under way
+  // - control.most_log: records kept to level others with; control.most_pending: of these not committed
+  // - control.most_batch: bytes of keys and values in one append or chunk (one record goes whole)
+  // - control.most_batches: under way to one member
+  Replica(Nanos now, MemberId self, Incarnation incarnation, std::set<MemberId> members,
+          std::set<MemberId> voters, const Given& figures, ReplicaOrders& orders);
+  Replica(const Replica&) = delete;
+  Replica& operator=(const Replica&) = delete;
+
+  // ---- what this member's Leases order of the lease "control"
+  void held(Nanos now, Token token, Nanos until);
+  void lost(Nanos now, Token token);
+
+  // ---- what is put at this member. Ends by `ended`, perhaps within the call; 0: no room, nothing follows.
+  PutNo put(Nanos now, std::string key, std::string value, bool deleted, std::optional<Version> expected);
+
+  // ---- what other control members say, each with its number and incarnation; `to`: to which of this one's
+  void prepared(Nanos now, MemberId from, Incarnation of, Token token, std::uint32_t round);
+  void promised(Nanos now, MemberId from, Incarnation of, Incarnation to, Token token, std::uint32_t round,
+                const LogStanding& standing);
+  void refused(Nanos now, MemberId from, Incarnation of, Incarnation to, Token token, Token seen);
+  void appending(Nanos now, MemberId from, Incarnation of, const Append& append);
+  void appended(Nanos now, MemberId from, Incarnation of, Incarnation to, Token token, std::uint64_t mark,
+                Version matched, bool gap);
+  void fetched(Nanos now, MemberId from, Incarnation of, Token token, Version base, Version cursor,
+               Token since);
+  void chunked(Nanos now, MemberId from, Incarnation of, Incarnation to, const Chunk& chunk);
+  void passed(Nanos now, MemberId from, Incarnation of, Incarnation to, Token token, const PassedPut& put);
+  void answered(Nanos now, MemberId from, Incarnation of, Incarnation to, Token token, PutNo put, PutEnd end,
+                Version version, std::string_view why);
+
+  // ---- time
+  Nanos next_wake() const; // -1: none
+  void due(Nanos now);
+
+  // ---- what it knows
+  const Entries& entries() const { return entries_; } // committed; give it out only if `ready`
+  Version committed() const { return committed_; }
+  // Not blank: a voter whose life counts in the newest roster that it knows as committed, or another member
+  // that holds a state.
+  bool ready() const;
+  bool writes(Nanos now) const { return phase_ == Phase::office && now < until_; }
+
+  struct Standing {
+    bool ready = false, office = false, establishing = false, fetching = false;
+    MemberId writer{}; // 0: none is known
+    Token token{};     // of that writer
+    Nanos heard_at = -1;
+    Version last{}, committed{};
+    Roster roster;
+    std::size_t puts = 0, pending = 0;
+    std::map<MemberId, Version> matched; // in office: how far each other is
+  };
+  Standing standing() const;
+  std::uint64_t senseless() const { return senseless_; }
+  // Committed entries that this member had no room for: its bounds are smaller than the writer's.
+  std::uint64_t no_room() const { return no_room_; }
+
+ private:
+  enum class Phase { none, asking, fetching, office };
+  struct Writer { // whose token was promised last
+    MemberId member{};
+    Incarnation of{};
+    Nanos heard_at = -1; // in office
+  };
+  struct Answer { // to a prepare
+    Incarnation of{};
+    LogStanding standing;
+  };
+  struct Fellow { // another member, to a writer in office
+    Incarnation of{};
+    bool known = false;                // `of` has been heard
+    std::uint64_t known_from = 0;      // the first mark that was sent after that
+    Version matched{}, sent{}, told{}; // told: what is committed
+    std::uint64_t mark = 0, echoed = 0,
+                  back_at = 0; // back_at: marks up to it were sent before `sent` went back
+    Nanos next_beat = 0, again = -1;
+  };
+  struct Session { // of one life of a member that passes puts on
+    PutNo oldest{};
+    struct Result {
+      bool ended = false;
+      PutEnd end = PutEnd::unknown;
+      Version version{};
+      std::string why;
+    };
+    std::map<PutNo, Result> results;
+    Nanos heard_at = 0;
+  };
+  struct Put { // of this member
+    PassedPut put;
+    Token token{}; // passed on under it; 0: not yet
+    MemberId to{};
+    Nanos again = 0, deadline = 0;
+  };
+  struct Fetch {
+    bool under_way = false;
+    MemberId from{};
+    Incarnation of{};
+    bool known = false; // `of` is
+    Version base{}, cursor{}, floor{};
+    bool first = true;
+    std::map<Version, Chunk> early;                     // by where they begin
+    std::map<Version, Record> records;                  // taken so far
+    std::map<std::string, Version, std::less<>> newest; // of each key among these
+    std::size_t bytes = 0;
+    Nanos again = 0, deadline = 0;
+  };
+
+  // The log
+  Version last() const { return log_.empty() ? log_from_ : log_.back().entry.version; }
+  std::size_t behind(Version version) const; // index of the first record after it
+  bool in_log(Version version) const;
+  void push(Record record);
+  void commit(Nanos now, Version to);
+  void trim();
+  std::vector<Roster> rosters() const; // in force, perhaps: from the committed one, or where all began anew
+  LogStanding log_standing() const;
+  const Entry* newest(std::string_view key) const; // pending ones too
+
+  // The writer
+  void ask(Nanos now);
+  void evaluate(Nanos now);
+  void begin(Nanos now);
+  void step_down();
+  bool supersede(Token seen);
+  bool write(Nanos now, Record record);
+  std::string why_refused(const Entry& entry, const std::optional<Version>& expected);
+  void write_roster(Nanos now, Roster roster);
+  void join(Nanos now, MemberId member, const Fellow& fellow);
+  void settle(Nanos now);
+  void send(Nanos now, MemberId to, Fellow& fellow, bool beat);
+  void send_all(Nanos now);
+  void take_put(Nanos now, MemberId from, Incarnation of, const PassedPut& put);
+
+  // The others
+  void begin_fetch(Nanos now, MemberId from, Version base);
+  void ask_chunks(Nanos now);
+  bool take_chunk(Nanos now, const Chunk& chunk);
+  void adopt(Nanos now, Version committed);
+  void pass_on(Nanos now, Put& put);
+  void end_put(PutNo number, PutEnd end, Version version, std::string_view why);
+  PutNo oldest_put() const;
+
+  ReplicaOrders& orders_;
+  MemberId self_;
+  Incarnation incarnation_;
+  std::set<MemberId> members_, voters_;
+  Given figures_;
+  Nanos beat_, again_, batch_, grace_, patience_, put_timeout_;
+  std::size_t most_puts_, most_log_, most_pending_, most_batch_, most_batches_, most_entries_, most_bytes_;
+
+  Entries entries_;
+  Version committed_{};
+  Roster roster_;          // the newest that is committed
+  std::deque<Record> log_; // committed ones first, then pending ones
+  Version log_from_{};     // what stands before the first
+  std::size_t pending_bytes_ = 0;
+  Token promised_{};
+  Writer writer_;
+
+  Phase phase_ = Phase::none;
+  Token token_{};
+  Nanos until_ = 0;
+  std::uint32_t round_ = 0;
+  Nanos asked_at_ = 0, ask_again_ = 0;
+  std::map<MemberId, Answer> answers_;
+  std::map<MemberId, Incarnation> lives_before_; // of the round before
+  bool by_all_ = false;
+  MemberId source_{};
+  LogStanding chosen_;
+  Version known_committed_{};
+  std::map<MemberId, Fellow> fellows_;
+  std::map<std::pair<MemberId, Incarnation>, Session> sessions_;
+  Nanos send_at_ = -1;
+
+  Fetch fetch_;
+  std::map<PutNo, Put> puts_;
+  std::uint64_t put_count_ = 0;
+  std::uint64_t senseless_ = 0, no_room_ = 0;
+};
+
+} // namespace cometshift
