--- /dev/null
+++ b/peers/control_follower.cpp
@@ -0,0 +1,118 @@
+#include "control_follower.hpp"
+
+#include <algorithm>
+
+namespace cometshift {
+
+namespace {
+
+std::vector<MemberId> numbers_of(const std::vector<Follower::Control>& controls) {
+  std::vector<MemberId> numbers;
+  for (const Follower::Control& one : controls) numbers.push_back(one.member);
+  return numbers;
+}
+
+} // namespace
+
+ControlFollower::ControlFollower(Nanos now, const words::Speaker& self, const Follower::Place& place,
+                                 const std::vector<Follower::Control>& controls,
+                                 std::vector<std::string> scopes, const Given& figures, std::uint64_t seed,
+                                 ControlFollowerOrders& orders)
+    : orders_(orders), zone_(place.zone), now_(now), voters_(now, self.from, VoterList{}, 1),
+      follower_(now, self.incarnation, place, controls, std::move(scopes), figures, seed, *this),
+      peers_(now, self, numbers_of(controls), voters_, figures, seed + 1, *this) {}
+
+bool ControlFollower::letter(Nanos now, const words::Speaker& speaker, std::string_view payload) {
+  now_ = now;
+  return words::read_letter(payload, speaker, *this);
+}
+std::string_view ControlFollower::set_scopes(Nanos now, std::vector<std::string> scopes) {
+  return follower_.set_scopes(now_ = now, std::move(scopes));
+}
+
+void ControlFollower::turn(Nanos now) {
+  now_ = now;
+  do {
+    for (const MemberId control : std::exchange(lost_, {})) follower_.lost(now, control);
+    follower_.due(now);
+    keep_lines();
+    peers_.due(now);
+  } while (!lost_.empty());
+  peers_.flush(now);
+}
+Nanos ControlFollower::next_wake() const {
+  const Nanos link = peers_.next_wake(), state = follower_.next_wake();
+  return link < 0 ? state : state < 0 ? link : std::min(link, state);
+}
+
+// Lines are kept to those that are followed, and hung up behind the last word to others.
+void ControlFollower::keep_lines() {
+  std::set<MemberId> wanted;
+  for (const Follower::Line& line : follower_.lines()) wanted.insert(line.member);
+  if (wanted == kept_) return;
+  for (const MemberId control : kept_)
+    if (!wanted.contains(control)) peers_.keep(now_, control, false);
+  for (const MemberId control : wanted)
+    if (!kept_.contains(control)) peers_.keep(now_, control, true);
+  kept_ = std::move(wanted);
+}
+
+// ---- the link
+
+void ControlFollower::news(MemberId of, Hearing, Hearing now) {
+  if (now == Hearing::silent || now == Hearing::deaf || now == Hearing::left) lost_.push_back(of);
+}
+bool ControlFollower::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
+                             Incarnation heard_of, bool leaving, const words::Rhythm& rhythm) {
+  return peers_.heard(now_, from, of, number, heard, heard_of, leaving, rhythm);
+}
+void ControlFollower::control(MemberId from, Incarnation, std::string_view bytes) {
+  from_ = from;
+  control_words::read(bytes, *this);
+}
+void ControlFollower::say(MemberId to, std::string_view about, std::string word) {
+  peers_.keep(now_, to, true); // against a word to one that is followed only from the end of this turn on
+  kept_.insert(to);
+  peers_.say(to, Peers::Slot::control, about, words::control(word));
+}
+
+// ---- to control members
+
+void ControlFollower::follow(MemberId to, FollowNo number, bool primary, const Position& at,
+                             const std::vector<ScopeHeld>& scopes) {
+  say(to, "follow", control_words::follow(number, primary, at, scopes, zone_));
+}
+void ControlFollower::have(MemberId to, FollowNo number, const Position& at) {
+  say(to, "have", control_words::have(number, at));
+}
+void ControlFollower::compare(MemberId to, FollowNo number, Version at,
+                              const std::vector<std::uint64_t>& digests) {
+  say(to, "compare", control_words::compare(number, at, digests));
+}
+void ControlFollower::unfollow(MemberId to, FollowNo number) {
+  if (peers_.up(to)) say(to, "unfollow", control_words::unfollow(number));
+}
+
+// ---- from control members
+
+void ControlFollower::delta(Incarnation to, FollowNo number, Version from, Version upto, bool whole,
+                            Nanos age, const std::vector<Entry>& entries) {
+  follower_.delta(now_, from_, to, number, from, upto, whole, age, entries);
+}
+void ControlFollower::renewal(Incarnation to, FollowNo number, Version at,
+                              const std::vector<std::uint16_t>& scopes, Version from, Version upto,
+                              const std::vector<Entry>& entries) {
+  follower_.renewal(now_, from_, to, number, at, scopes, from, upto, entries);
+}
+void ControlFollower::beat(Incarnation to, FollowNo number, Version committed, Nanos age) {
+  follower_.beat(now_, from_, to, number, committed, age);
+}
+void ControlFollower::rest(Incarnation to, FollowNo number, Nanos rest) {
+  follower_.rest(now_, from_, to, number, rest);
+}
+void ControlFollower::elsewhere(Incarnation to, FollowNo number) {
+  follower_.elsewhere(now_, from_, to, number);
+}
+void ControlFollower::again(Incarnation to, FollowNo number) { follower_.again(now_, from_, to, number); }
+
+} // namespace cometshift
--- /dev/null
+++ b/peers/control_member.cpp
@@ -0,0 +1,428 @@
+#include "control_member.hpp"
+
+#include <algorithm>
+
+namespace cometshift {
+
+namespace {
+
+constexpr double ms = 1e6; // ns
+constexpr const char* lease_of_writer = "control";
+constexpr std::size_t most_strangers = 256; // beside those that follow: a zone's return, some ms of it
+
+// For how long what was granted may last, by a clock as wrong as is allowed.
+Nanos settle_time(const Given& figures) {
+  const double drift = number(figures, "leases.drift", 0);
+  return static_cast<Nanos>(number(figures, "leases.longest_term", 0) * (1 + drift) / (1 - drift)) + 1;
+}
+VoterList list_of(const std::set<MemberId>& voters) { return {Epoch{1}, voters, {}}; }
+std::vector<MemberId> without(const std::vector<MemberId>& all, MemberId one) {
+  std::vector<MemberId> others;
+  for (const MemberId member : all)
+    if (member != one) others.push_back(member);
+  return others;
+}
+std::string about(const char* what, std::uint64_t which) { return what + std::to_string(which); }
+
+} // namespace
+
+// A change is in force everywhere within 4 s: a beat of half a second tells a server by its second line that
+// its first has fallen behind, a second is then waited for it, and the rest is room for the turn.
+Given control_figures(bool control) {
+  Given figures{
+      {"control.beat", 500 * ms},
+      {"control.silent", 2'000 * ms},
+      {"control.behind", 1'000 * ms},
+      {"control.settle", 10'000 * ms},
+      {"control.rest_least", 200 * ms},
+      {"control.rest_most", 5'000 * ms},
+      {"control.compare", 60'000 * ms},
+      {"control.answer", 1'000 * ms},
+      {"control.again", 300 * ms},
+      {"control.batch", 20 * ms},
+      {"control.grace", 2'000 * ms},
+      {"control.patience", 5'000 * ms},
+      {"control.put_timeout", 10'000 * ms},
+      {"control.forget", 3'600'000 * ms},
+      {"control.rate", 5'000.0},   // bytes a second to a server, under its 6 KB with beats
+      {"control.burst", 24'000.0}, // what it may get in the 4 s that a change has
+      {"control.total_rate", 20e6},
+      {"control.total_burst", 4e6},
+      {"control.most_whole", 200.0},
+      {"control.most_part", 4'600.0}, // bytes in one word
+      {"control.most_batch", 4'600.0},
+      {"control.most_batches", 4.0},
+      {"control.most_followers", 8'192.0},
+      {"control.most_members", 16'384.0},
+      {"control.most_entries", 400'000.0}, // routes, tenants and some more
+      {"control.most_bytes", 128e6},
+      {"control.most_key", 200.0},
+      {"control.most_value", 4'096.0},
+      {"control.most_deleted", 20'000.0},
+      {"control.most_puts", 1'024.0},
+      {"control.most_log", 4'096.0},
+      {"control.most_pending", 1'024.0},
+      {"leases.term", 3'000 * ms},
+      {"leases.longest_term", 3'000 * ms},
+      {"leases.drift", 0.01},
+      {"leases.most_terms", 0.0},
+      {"leases.most", 16.0},
+      {"leases.longest_act", 0.0},
+      {"leases.first_token", 1.0},
+      {"peers.beat", 1'000 * ms},
+      {"peers.silent", 3'000 * ms},
+      {"peers.rest_least", 100 * ms},
+      {"peers.rest_most", 5'000 * ms},
+      {"peers.most_words", 256.0},
+      {"peers.most_waiting_bytes", 96.0 * 1024},
+      {"peers.by_choice", 1.0},
+  };
+  if (control) {
+    figures["peers.most_beats"] = 20'000.0; // a machine of its own; control's beats come sooner anyway
+    figures["peers.most_members"] = 16'384.0;
+  }
+  return figures;
+}
+
+ControlMember::ControlMember(const Moment& at, const words::Speaker& self,
+                             const std::vector<MemberId>& controls, const std::set<MemberId>& voters,
+                             const Given& figures, std::uint64_t seed, ControlMemberOrders& orders)
+    : orders_(orders), self_(self), controls_(controls.begin(), controls.end()), at_(at),
+      voters_(at.late, self.from, list_of(voters), settle_time(figures)),
+      leases_(at.late, self.from, self.incarnation, voters_, figures, seed, *this),
+      replica_(at.early, self.from, self.incarnation, controls_, voters, figures, *this),
+      feed_(at.early, replica_.entries(), figures, seed + 1, *this),
+      directory_(at.early, self.from, self.incarnation, without(controls, self.from), figures, *this),
+      peers_(at.early, self, without(controls, self.from), voters_, figures, seed + 2, *this) {
+  for (const MemberId one : controls)
+    if (one != self.from) peers_.keep(at.early, one, true);
+  if (voters.contains(self.from)) leases_.want(at.early, lease_of_writer);
+}
+
+// ---- the lines
+
+void ControlMember::connected(const Moment& at, MemberId to) { peers_.connected((at_ = at).early, to); }
+void ControlMember::written(const Moment& at, MemberId to) { peers_.written((at_ = at).early, to); }
+void ControlMember::broken(const Moment& at, MemberId to) { peers_.broken((at_ = at).early, to); }
+
+bool ControlMember::welcome(const Moment& at, const words::Speaker& speaker) {
+  at_ = at;
+  if (speaker.from == self_.from || speaker.listen.empty()) return false;
+  if (is_control(speaker.from)) return true;
+  // Against any number of those that come, say who they are and follow nothing.
+  while (strangers_.size() >= most_strangers ||
+         (!strangers_.empty() && !peers_.add(at.early, speaker.from))) {
+    const MemberId first = strangers_.front();
+    strangers_.pop_front();
+    if (!attached_.contains(first) && first != speaker.from) let_go(first);
+  }
+  if (!peers_.add(at.early, speaker.from)) return false;
+  if (!attached_.contains(speaker.from)) strangers_.push_back(speaker.from);
+  std::string& address = addresses_[speaker.from];
+  if (address != speaker.listen) orders_.listed(speaker.from, address = speaker.listen);
+  return true;
+}
+void ControlMember::let_go(MemberId member) {
+  attached_.erase(member);
+  peers_.remove(at_.early, member);
+  if (addresses_.erase(member) > 0) orders_.unlisted(member);
+}
+
+bool ControlMember::letter(const Moment& at, const words::Speaker& speaker, std::string_view payload) {
+  at_ = at;
+  speaks_at_ = speaker.listen;
+  return words::read_letter(payload, speaker, *this);
+}
+
+PutNo ControlMember::put(const Moment& at, std::string key, std::string value, bool deleted,
+                         std::optional<Version> expected) {
+  at_ = at;
+  return replica_.put(at.early, std::move(key), std::move(value), deleted, expected);
+}
+
+// ---- a turn
+
+void ControlMember::turn(const Moment& at) {
+  at_ = at;
+  for (;;) {
+    while (!own_.empty()) {
+      const auto what = std::move(own_.front());
+      own_.pop_front();
+      what();
+    }
+    leases_.count(at.unix_ms);
+    leases_.due(at.early);
+    look_at_holding();
+    replica_.due(at.early);
+    look_at_state();
+    feed_.due(at.early);
+    directory_.due(at.early);
+    peers_.due(at.early);
+    if (own_.empty()) break;
+  }
+  peers_.flush(at.early);
+}
+void ControlMember::look_at_state() {
+  if (replica_.ready() == feed_.is_blank())
+    feed_.is_blank() ? feed_.ready(at_.early) : feed_.blank(at_.early);
+  if (replica_.writes(at_.early)) feed_.current(at_.early);
+}
+Nanos ControlMember::next_wake() const {
+  Nanos next = holding_.token == Token{} ? -1 : holding_.from;
+  for (const Nanos at : {leases_.next_wake(), replica_.next_wake(), feed_.next_wake(), directory_.next_wake(),
+                         peers_.next_wake()})
+    if (at >= 0 && (next < 0 || at < next)) next = at;
+  return next;
+}
+void ControlMember::leave(const Moment& at) {
+  at_ = at;
+  leases_.leave(at.early);
+  peers_.leave(at.early);
+}
+
+// ---- the link
+
+void ControlMember::news(MemberId of, Hearing before, Hearing now) {
+  if (is_control(of)) return orders_.news(of, before, now);
+  if (now != Hearing::silent && now != Hearing::left) return;
+  to_self([this, of] {
+    if (attached_.erase(of) > 0) peers_.keep(at_.early, of, false);
+  });
+}
+bool ControlMember::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
+                           Incarnation heard_of, bool leaving, const words::Rhythm& rhythm) {
+  if (!peers_.heard(at_.early, from, of, number, heard, heard_of, leaving, rhythm)) return false;
+  from_ = from;
+  of_ = of;
+  if (!is_control(from))
+    leaving ? directory_.left(at_.early, from, of) : directory_.heard(at_.early, from, of);
+  return true;
+}
+void ControlMember::control(MemberId from, Incarnation of, std::string_view bytes) {
+  from_ = from;
+  of_ = of;
+  control_words::read(bytes, *this);
+}
+void ControlMember::say(MemberId to, std::string_view about, std::string word) {
+  peers_.say(to, Peers::Slot::control, about, words::control(word));
+}
+
+// ---- leases
+
+void ControlMember::asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number,
+                          Token token, Nanos term) {
+  if (is_control(from)) leases_.asked(at_.late, from, of, epoch, lease, number, token, term);
+}
+void ControlMember::released(MemberId from, Incarnation of, std::string_view lease, AskNo number) {
+  if (is_control(from)) leases_.released(at_.late, from, of, lease, number);
+}
+void ControlMember::granted(MemberId from, Incarnation to, std::string_view lease, AskNo number,
+                            bool wanted) {
+  leases_.granted(at_.early, from, to, lease, number, wanted);
+}
+void ControlMember::refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
+                            Nanos left) {
+  leases_.refused(at_.early, from, to, lease, number, seen, left);
+}
+void ControlMember::ask(MemberId voter, Epoch epoch, std::string_view lease, AskNo number, Token token,
+                        Nanos term) {
+  if (voter != self_.from)
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::ask(epoch, lease, number, token, term)));
+  to_self([this, epoch, lease = std::string(lease), number, token, term] {
+    leases_.asked(at_.late, self_.from, self_.incarnation, epoch, lease, number, token, term);
+  });
+}
+void ControlMember::release(MemberId voter, std::string_view lease, AskNo number) {
+  if (voter != self_.from)
+    return void(peers_.say(voter, Peers::Slot::asking, lease, words::release(lease, number)));
+  to_self([this, lease = std::string(lease), number] {
+    leases_.released(at_.late, self_.from, self_.incarnation, lease, number);
+  });
+}
+void ControlMember::grant(MemberId to, Incarnation of, std::string_view lease, AskNo number, bool wanted) {
+  if (to != self_.from)
+    return void(peers_.say(to, Peers::Slot::answering, lease, words::grant(of, lease, number, wanted)));
+  to_self([this, of, lease = std::string(lease), number, wanted] {
+    leases_.granted(at_.early, self_.from, of, lease, number, wanted);
+  });
+}
+void ControlMember::refuse(MemberId to, Incarnation of, std::string_view lease, AskNo number, Token seen,
+                           Nanos left) {
+  if (to != self_.from)
+    return void(peers_.say(to, Peers::Slot::answering, lease, words::refuse(of, lease, number, seen, left)));
+  to_self([this, of, lease = std::string(lease), number, seen, left] {
+    leases_.refused(at_.early, self_.from, of, lease, number, seen, left);
+  });
+}
+void ControlMember::held(std::string_view, Token token, Nanos from, Nanos until) {
+  holding_ = {token, from, until};
+  look_at_holding();
+}
+// Against writing while another may still: a holding may begin later than it is told.
+void ControlMember::look_at_holding() {
+  if (holding_.token == Token{} || holding_.from > at_.early) return;
+  const Holding begun = std::exchange(holding_, {});
+  replica_.held(at_.early, begun.token, begun.until);
+}
+void ControlMember::lost(std::string_view, Token token, LostWhy) {
+  if (holding_.token == token) holding_ = {};
+  replica_.lost(at_.early, token);
+}
+
+// ---- the one order
+
+void ControlMember::prepare(MemberId to, Token token, std::uint32_t round) {
+  say(to, "prepare", control_words::prepare(token, round));
+}
+void ControlMember::promise(MemberId to, Incarnation of, Token token, std::uint32_t round,
+                            const LogStanding& standing) {
+  say(to, "promise", control_words::promise(of, token, round, standing));
+}
+void ControlMember::refuse(MemberId to, Incarnation of, Token token, Token seen) {
+  say(to, "refuse", control_words::refuse(of, token, seen));
+}
+void ControlMember::append(MemberId to, const Append& append) {
+  say(to, append.records.empty() ? "append" : about("append", append.mark), control_words::append(append));
+}
+void ControlMember::appended(MemberId to, Incarnation of, Token token, std::uint64_t mark, Version matched,
+                             bool gap) {
+  say(to, "appended", control_words::appended(of, token, mark, matched, gap));
+}
+void ControlMember::fetch(MemberId to, Token token, Version base, Version cursor, Token since) {
+  say(to, "fetch", control_words::fetch(token, base, cursor, since));
+}
+void ControlMember::chunk(MemberId to, Incarnation of, const Chunk& chunk) {
+  say(to, about("chunk", chunk.from.number), control_words::chunk(of, chunk));
+}
+void ControlMember::pass(MemberId to, Incarnation of, Token token, const PassedPut& put) {
+  say(to, about("pass", put.number.raw), control_words::pass(of, token, put));
+}
+void ControlMember::answer(MemberId to, Incarnation of, Token token, PutNo put, PutEnd end, Version version,
+                           std::string_view why) {
+  say(to, about("answer", put.raw), control_words::answer(of, token, put, end, version, why));
+}
+void ControlMember::committed(const Record& record) {
+  feed_.committed(at_.early, record.entry);
+  orders_.committed(record);
+}
+void ControlMember::replaced() {
+  if (!feed_.is_blank()) feed_.blank(at_.early); // what it told of it is not so any more
+}
+void ControlMember::ended(PutNo put, PutEnd end, Version version, std::string_view why) {
+  orders_.ended(put, end, version, why);
+}
+void ControlMember::superseded(Token, Token seen) {
+  to_self([this, seen] { leases_.refused_by_target(at_.early, lease_of_writer, seen); });
+}
+void ControlMember::prepared(Token token, std::uint32_t round) {
+  if (is_control(from_)) replica_.prepared(at_.early, from_, of_, token, round);
+}
+void ControlMember::promised(Incarnation to, Token token, std::uint32_t round, const LogStanding& standing) {
+  if (is_control(from_)) replica_.promised(at_.early, from_, of_, to, token, round, standing);
+}
+void ControlMember::refused(Incarnation to, Token token, Token seen) {
+  if (is_control(from_)) replica_.refused(at_.early, from_, of_, to, token, seen);
+}
+void ControlMember::appending(const Append& append) {
+  if (!is_control(from_)) return;
+  replica_.appending(at_.early, from_, of_, append);
+  if (replica_.ready() && replica_.standing().heard_at == at_.early &&
+      replica_.committed() >= append.committed)
+    feed_.current(at_.early);
+}
+void ControlMember::appended(Incarnation to, Token token, std::uint64_t mark, Version matched, bool gap) {
+  if (is_control(from_)) replica_.appended(at_.early, from_, of_, to, token, mark, matched, gap);
+}
+void ControlMember::fetched(Token token, Version base, Version cursor, Token since) {
+  if (is_control(from_)) replica_.fetched(at_.early, from_, of_, token, base, cursor, since);
+}
+void ControlMember::chunked(Incarnation to, const Chunk& chunk) {
+  if (is_control(from_)) replica_.chunked(at_.early, from_, of_, to, chunk);
+}
+void ControlMember::passed(Incarnation to, Token token, const PassedPut& put) {
+  if (is_control(from_)) replica_.passed(at_.early, from_, of_, to, token, put);
+}
+void ControlMember::answered(Incarnation to, Token token, PutNo put, PutEnd end, Version version,
+                             std::string_view why) {
+  if (is_control(from_)) replica_.answered(at_.early, from_, of_, to, token, put, end, version, why);
+}
+
+// ---- what is given out
+
+void ControlMember::delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto,
+                          bool whole, Nanos age, const std::vector<const Entry*>& entries) {
+  say(to, "part", control_words::delta(of, number, from, upto, whole, age, entries));
+}
+void ControlMember::renewal(MemberId to, Incarnation of, FollowNo number, Version at,
+                            const std::vector<std::uint16_t>& scopes, Version from, Version upto,
+                            const std::vector<const Entry*>& entries) {
+  say(to, "part", control_words::renewal(of, number, at, scopes, from, upto, entries));
+}
+void ControlMember::beat(MemberId to, Incarnation of, FollowNo number, Version committed, Nanos age) {
+  say(to, "beat", control_words::beat(of, number, committed, age));
+}
+void ControlMember::rest(MemberId to, Incarnation of, FollowNo number, Nanos rest) {
+  say(to, "rest", control_words::rest(of, number, rest));
+}
+void ControlMember::elsewhere(MemberId to, Incarnation of, FollowNo number) {
+  say(to, "elsewhere", control_words::elsewhere(of, number));
+}
+void ControlMember::again(MemberId to, Incarnation of, FollowNo number) {
+  say(to, "elsewhere", control_words::again(of, number));
+}
+void ControlMember::follow(FollowNo number, bool primary, const Position& at,
+                           const std::vector<ScopeHeld>& scopes, std::string_view zone) {
+  if (is_control(from_)) return;
+  if (attached_.insert(from_).second) {
+    std::erase(strangers_, from_);
+    peers_.keep(at_.early, from_, true);
+  }
+  MemberRecord record;
+  record.member = from_;
+  record.incarnation = of_;
+  record.attached = number;
+  record.address = speaks_at_;
+  record.zone = std::string(zone);
+  record.since = at_.unix_ms;
+  directory_.attached(at_.early, record);
+  feed_.follow(at_.early, from_, of_, number, primary, at, scopes);
+}
+void ControlMember::have(FollowNo number, const Position& at) {
+  if (!is_control(from_)) feed_.have(at_.early, from_, of_, number, at);
+}
+void ControlMember::compare(FollowNo number, Version at, const std::vector<std::uint64_t>& digests) {
+  if (!is_control(from_)) feed_.compare(at_.early, from_, of_, number, at, digests);
+}
+void ControlMember::unfollow(FollowNo number) {
+  if (is_control(from_)) return;
+  feed_.unfollow(at_.early, from_, of_, number);
+  directory_.detached(at_.early, from_, of_);
+  attached_.erase(from_);
+  peers_.keep(at_.early, from_, false);
+}
+
+// ---- who is there
+
+void ControlMember::part(MemberId to, PartNo from, PartNo upto, PartNo last, std::uint64_t digest,
+                         const std::vector<const MemberRecord*>& records) {
+  say(to, "members", control_words::part(from, upto, last, digest, records));
+}
+void ControlMember::have(MemberId to, Incarnation owner, PartNo upto) {
+  say(to, "members held", control_words::part_held(owner, upto));
+}
+void ControlMember::news(const MemberRecord& member, Presence before) {
+  orders_.presence(member, before);
+  if (member.presence == Presence::gone)
+    to_self([this, gone = member.member] {
+      if (!attached_.contains(gone)) let_go(gone);
+    });
+}
+void ControlMember::part(PartNo from, PartNo upto, PartNo last, std::uint64_t digest,
+                         const std::vector<MemberRecord>& records) {
+  if (is_control(from_)) directory_.part(at_.early, from_, of_, from, upto, last, digest, records);
+}
+void ControlMember::part_held(Incarnation owner, PartNo upto) {
+  if (is_control(from_)) directory_.have(at_.early, from_, owner, upto);
+}
+
+} // namespace cometshift
--- /dev/null
+++ b/peers/control_member.hpp
@@ -0,0 +1,199 @@
+// A control member whole, but for its sockets and clocks: its link (peers.hpp), its vote and its lease
+// (leases/), its part in the one order, what it gives to servers and who is there (control/). Joins these and
+// decides nothing of its own. Carried by sockets in a process, and by a simulated network in rigs.
+//
+// Servers are not listed: one that dials and says where it can be dialled is welcome while there is room, is
+// dialled back once it follows, and forgotten when the directory forgets it.
+//
+// Times: as clocks.hpp tells them, one moment with each call. Nothing that is ordered may call back within
+// the order; `turn` at the end of each turn does what is due and sends what there is to say.
+// Errors: the constructor throws std::invalid_argument with what is senseless.
+#pragma once
+
+#include "control_words.hpp"
+#include "feed.hpp"
+#include "peers.hpp"
+
+#include <functional>
+
+namespace cometshift {
+
+struct Moment {
+  Nanos early;           // of who holds: never ahead of the truth by more than the drift
+  Nanos late;            // of who granted
+  std::uint64_t unix_ms; // as shown, for people and for tokens to rise over starts
+};
+
+// All figures of control and of its link, as they are unless the operator file says otherwise; `control`: of
+// a control member, else of a server.
+Given control_figures(bool control);
+
+class ControlMemberOrders {
+ public:
+  virtual ~ControlMemberOrders() = default;
+  virtual void dial(MemberId to) = 0;
+  virtual void hang_up(MemberId to) = 0;
+  virtual void send(MemberId to, std::string frame) = 0;
+  // A server is known from now on, by that address; is forgotten.
+  virtual void listed(MemberId member, std::string_view address) = 0;
+  virtual void unlisted(MemberId member) = 0;
+  virtual std::string why_not(const Entry& entry) = 0; // as the writer; empty: it can be written
+  virtual void ended(PutNo put, PutEnd end, Version version, std::string_view why) = 0;
+  virtual void committed(const Record& record) = 0;
+  virtual void began(Token token, bool after_loss) = 0;
+  virtual void stepped_down(Token token) = 0;
+  virtual void news(MemberId of, Hearing before, Hearing now) = 0; // of control members
+  virtual void presence(const MemberRecord& member, Presence before) = 0;
+  virtual void doubled(MemberId number) = 0;
+};
+
+class ControlMember final : PeerOrders,
+                            LeaseOrders,
+                            ReplicaOrders,
+                            FeedOrders,
+                            DirectoryOrders,
+                            words::Listener,
+                            control_words::ControlListener {
+ public:
+  ControlMember(const Moment& at, const words::Speaker& self, const std::vector<MemberId>& controls,
+                const std::set<MemberId>& voters, const Given& figures, std::uint64_t seed,
+                ControlMemberOrders& orders);
+  ControlMember(const ControlMember&) = delete;
+  ControlMember& operator=(const ControlMember&) = delete;
+
+  // ---- the lines
+  void connected(const Moment& at, MemberId to);
+  void written(const Moment& at, MemberId to);
+  void broken(const Moment& at, MemberId to);
+  bool welcome(const Moment& at, const words::Speaker& speaker); // false: no room, or it says no address
+  bool letter(const Moment& at, const words::Speaker& speaker, std::string_view payload);
+
+  // ---- the operator's; as Replica::put
+  PutNo put(const Moment& at, std::string key, std::string value, bool deleted,
+            std::optional<Version> expected);
+
+  void turn(const Moment& at);
+  Nanos next_wake() const; // of the early clock; -1: none
+  void leave(const Moment& at);
+
+  const Replica& replica() const { return replica_; }
+  const Feed& feed() const { return feed_; }
+  const Directory& directory() const { return directory_; }
+  const Peers& peers() const { return peers_; }
+
+ private:
+  // The link
+  void dial(MemberId to) override { orders_.dial(to); }
+  void hang_up(MemberId to) override { orders_.hang_up(to); }
+  void send(MemberId to, std::string frame) override { orders_.send(to, std::move(frame)); }
+  void news(MemberId of, Hearing before, Hearing now) override;
+  void doubled(MemberId number) override { orders_.doubled(number); }
+  // Words of the link and of leases
+  bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
+              bool leaving, const words::Rhythm& rhythm) override;
+  void voters(MemberId, Epoch, const VoterList&) override {} // they are those that the files name
+  void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number, Token token,
+             Nanos term) override;
+  void released(MemberId from, Incarnation of, std::string_view lease, AskNo number) override;
+  void granted(MemberId from, Incarnation to, std::string_view lease, AskNo number, bool wanted) override;
+  void refused(MemberId from, Incarnation to, std::string_view lease, AskNo number, Token seen,
+               Nanos left) override;
+  void done(MemberId, std::string_view, Token, Nanos) override {}
+  void control(MemberId from, Incarnation of, std::string_view bytes) override;
+  // Leases
+  void ask(MemberId voter, Epoch epoch, std::string_view lease, AskNo number, Token token,
+           Nanos term) override;
+  void release(MemberId voter, std::string_view lease, AskNo number) override;
+  void grant(MemberId to, Incarnation of, std::string_view lease, AskNo number, bool wanted) override;
+  void refuse(MemberId to, Incarnation of, std::string_view lease, AskNo number, Token seen,
+              Nanos left) override;
+  void held(std::string_view lease, Token token, Nanos from, Nanos until) override;
+  void lost(std::string_view lease, Token token, LostWhy why) override;
+  // The one order: to others
+  void prepare(MemberId to, Token token, std::uint32_t round) override;
+  void promise(MemberId to, Incarnation of, Token token, std::uint32_t round,
+               const LogStanding& standing) override;
+  void refuse(MemberId to, Incarnation of, Token token, Token seen) override;
+  void append(MemberId to, const Append& append) override;
+  void appended(MemberId to, Incarnation of, Token token, std::uint64_t mark, Version matched,
+                bool gap) override;
+  void fetch(MemberId to, Token token, Version base, Version cursor, Token since) override;
+  void chunk(MemberId to, Incarnation of, const Chunk& chunk) override;
+  void pass(MemberId to, Incarnation of, Token token, const PassedPut& put) override;
+  void answer(MemberId to, Incarnation of, Token token, PutNo put, PutEnd end, Version version,
+              std::string_view why) override;
+  // ... and here
+  std::string why_not(const Entry& entry) override { return orders_.why_not(entry); }
+  void committed(const Record& record) override;
+  void replaced() override;
+  void ended(PutNo put, PutEnd end, Version version, std::string_view why) override;
+  void began(Token token, bool after_loss) override { orders_.began(token, after_loss); }
+  void stepped_down(Token token) override { orders_.stepped_down(token); }
+  void superseded(Token token, Token seen) override;
+  // What is given out
+  void delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto, bool whole, Nanos age,
+             const std::vector<const Entry*>& entries) override;
+  void renewal(MemberId to, Incarnation of, FollowNo number, Version at,
+               const std::vector<std::uint16_t>& scopes, Version from, Version upto,
+               const std::vector<const Entry*>& entries) override;
+  void beat(MemberId to, Incarnation of, FollowNo number, Version committed, Nanos age) override;
+  void rest(MemberId to, Incarnation of, FollowNo number, Nanos rest) override;
+  void elsewhere(MemberId to, Incarnation of, FollowNo number) override;
+  void again(MemberId to, Incarnation of, FollowNo number) override;
+  // Who is there
+  void part(MemberId to, PartNo from, PartNo upto, PartNo last, std::uint64_t digest,
+            const std::vector<const MemberRecord*>& records) override;
+  void have(MemberId to, Incarnation owner, PartNo upto) override;
+  void news(const MemberRecord& member, Presence before) override;
+  // Words of control members and of servers
+  void prepared(Token token, std::uint32_t round) override;
+  void promised(Incarnation to, Token token, std::uint32_t round, const LogStanding& standing) override;
+  void refused(Incarnation to, Token token, Token seen) override;
+  void appending(const Append& append) override;
+  void appended(Incarnation to, Token token, std::uint64_t mark, Version matched, bool gap) override;
+  void fetched(Token token, Version base, Version cursor, Token since) override;
+  void chunked(Incarnation to, const Chunk& chunk) override;
+  void passed(Incarnation to, Token token, const PassedPut& put) override;
+  void answered(Incarnation to, Token token, PutNo put, PutEnd end, Version version,
+                std::string_view why) override;
+  void part(PartNo from, PartNo upto, PartNo last, std::uint64_t digest,
+            const std::vector<MemberRecord>& records) override;
+  void part_held(Incarnation owner, PartNo upto) override;
+  void follow(FollowNo number, bool primary, const Position& at, const std::vector<ScopeHeld>& scopes,
+              std::string_view zone) override;
+  void have(FollowNo number, const Position& at) override;
+  void compare(FollowNo number, Version at, const std::vector<std::uint64_t>& digests) override;
+  void unfollow(FollowNo number) override;
+
+  bool is_control(MemberId member) const { return controls_.contains(member); }
+  void say(MemberId to, std::string_view about, std::string word);
+  void to_self(std::function<void()> what) { own_.push_back(std::move(what)); }
+  void look_at_state();
+  void look_at_holding();
+  void let_go(MemberId member);
+
+  ControlMemberOrders& orders_;
+  words::Speaker self_;
+  std::set<MemberId> controls_;
+  Moment at_;
+  MemberId from_{}; // who speaks, while a word is taken
+  Incarnation of_{};
+  std::string speaks_at_; // its address, as it says
+  std::deque<std::function<void()>> own_;
+  std::deque<MemberId> strangers_; // were welcome, and follow nothing yet: the first make room
+  std::set<MemberId> attached_;    // servers to whom a line is kept
+  std::map<MemberId, std::string> addresses_;
+  struct Holding {
+    Token token{};
+    Nanos from = 0, until = 0;
+  };
+  Holding holding_; // of the lease, told and not begun yet; token 0: none
+  Voters voters_;
+  Leases leases_;
+  Replica replica_;
+  Feed feed_;
+  Directory directory_;
+  Peers peers_;
+};
+
+} // namespace cometshift
