--- a/control/directory.hpp
+++ b/control/directory.hpp
@@ -19,6 +19,7 @@
 
 #include "following.hpp"
 
+#include <deque>
 #include <set>
 
 namespace cometshift {
@@ -102,33 +103,45 @@
  private:
   struct Mine {
     MemberRecord record;
+    std::uint64_t digest = 0; // 0 where it is gone
     Nanos heard_at = 0, wake = -1;
-    Incarnation before{}; // that this one replaced
+    Incarnation before{}; // that this one replaced while it was well
     Nanos replaced_at = -1;
   };
   struct Other { // a control member, and its part
     Incarnation of{};
+    std::deque<Incarnation> lives; // before this one
     PartNo upto{};
     std::uint64_t digest = 0;
     std::map<MemberId, MemberRecord> records;
+    bool lacks = false; // some had no room
+    // The part as it is told from its beginning, until it is whole.
+    bool comes = true;
+    PartNo coming_upto{};
+    std::map<MemberId, MemberRecord> coming;
     bool silent = true;
     Nanos heard_at = 0;
     // What it has of this one's part.
     PartNo has{}, sent{};
-    bool under_way = false;
+    bool stale = false, under_way = false; // it lacks something
     Nanos sent_at = 0, next_beat = 0;
     int repeats = 0;
-    Nanos wake = -1;
   };
-  using Owner = MemberId;
 
   void change(Nanos now, Mine& mine, Presence presence);
   void forget_gone();
-  void plan(MemberId id, Nanos& wake, Nanos at);
-  void look(Nanos now, MemberId member); // its view anew
+  void plan(MemberId id, Mine& mine, Nanos at);
+  void tell_doubled(MemberId member);
+  void begin_anew(Other& other);
+  void take(Nanos now, MemberId from, Other& other, const MemberRecord& record);
+  void become_whole(Nanos now, MemberId from, Other& other);
+  void forget_teller(MemberId member, MemberId owner);
+  bool room_for(MemberId member) const;
+  void hear(Nanos now, MemberId id, Other& other);
+  void look_at_all_of(Nanos now, const Other& other);
   void say(Nanos now, MemberId to, Other& other);
-  void judge_mine(Nanos now, MemberId id, Mine& mine);
-  void judge_other(Nanos now, MemberId id, Other& other);
+  void look(Nanos now, MemberId member); // its view anew
+  void count(const MemberRecord& record, int by);
   static std::uint64_t digest_of(const MemberRecord& record);
 
   DirectoryOrders& orders_;
@@ -139,15 +152,15 @@
   std::map<MemberId, Mine> mine_;
   std::map<PartNo, MemberId> changes_; // newest of each
   PartNo last_{}, floor_{};            // of changes; those that are gone are forgotten up to `floor_`
-  std::size_t gone_ = 0;
+  std::set<PartNo> gone_;
   std::uint64_t digest_ = 0;
-  std::map<Owner, Other> others_;
-  std::map<MemberId, std::set<Owner>> told_by_; // by which others
+  std::map<MemberId, Other> others_;
+  std::map<MemberId, std::set<MemberId>> told_by_; // by which others
   std::map<MemberId, MemberRecord> view_;
   std::map<MemberId, Nanos> double_since_; // two lives are told as well
   std::set<MemberId> told_doubled_;
   std::map<std::string, Zone, std::less<>> zones_;
-  std::set<std::pair<Nanos, MemberId>> wakes_; // numbers of servers and of control members are one space
+  std::set<std::pair<Nanos, MemberId>> wakes_; // of those in this one's part
   Counts counts_;
 };
 
--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -89,13 +89,11 @@
   current_at_ = -1;
   for (const auto& [id, follower] : followers_) orders_.elsewhere(id, follower.of, follower.number);
   while (!followers_.empty()) drop(followers_.begin()->first, followers_.begin()->second, now);
-  digests_.clear();
 }
 
 void Feed::committed(Nanos now, const Entry& entry) {
   const auto scope = by_scope_.find(scope_of(entry.key));
   if (scope == by_scope_.end()) return;
-  digests_.erase(scope->first);
   for (const MemberId id : scope->second) {
     ++counts_.looked_at;
     Follower& follower = followers_.at(id);
@@ -107,15 +105,6 @@
 
 void Feed::current(Nanos now) { current_at_ = now; }
 
-std::uint64_t Feed::digest(const std::string& scope) {
-  const auto at = digests_.find(scope);
-  if (at != digests_.end()) return at->second;
-  const std::uint64_t made = state_.digest(scope);
-  // Only of scopes that are followed: those are bounded, and `committed` looks after them.
-  if (by_scope_.contains(scope)) digests_.emplace(scope, made);
-  return made;
-}
-
 // ---- what followers say
 
 Feed::Follower* Feed::known(Nanos now, MemberId from, Incarnation of, FollowNo number) {
@@ -203,7 +192,7 @@
   state_.since(at, state_.last(), follower.names, [&newer](const Entry&) { return !(newer = true); });
   if (newer) return;
   for (const ScopeHeld& one : follower.scopes)
-    if (one.held && one.digest != digest(one.scope)) return needs_renewal(now, id, follower);
+    if (one.held && one.digest != state_.digest(one.scope)) return needs_renewal(now, id, follower);
 }
 
 void Feed::compare(Nanos now, MemberId from, Incarnation of, FollowNo number, Version at,
@@ -228,10 +217,7 @@
       const auto at = by_scope_.find(name);
       if (at == by_scope_.end()) continue;
       at->second.erase(id);
-      if (at->second.empty()) {
-        digests_.erase(name);
-        by_scope_.erase(at);
-      }
+      if (at->second.empty()) by_scope_.erase(at);
     }
   if (follower.wake >= 0) wakes_.erase({follower.wake, id});
   if (follower.waits != 0) credit_line_.erase(follower.waits);
@@ -280,7 +266,7 @@
   follower.renewal_names.clear();
   for (std::size_t i = 0; i < follower.scopes.size(); ++i) {
     const ScopeHeld& one = follower.scopes[i];
-    if (one.held && one.digest == digest(one.scope)) continue;
+    if (one.held && one.digest == state_.digest(one.scope)) continue;
     follower.renewal.push_back(static_cast<std::uint16_t>(i));
     follower.renewal_names.push_back(one.scope);
   }
--- a/control/feed.hpp
+++ b/control/feed.hpp
@@ -149,7 +149,6 @@
   bool reached(const Follower& follower) const;
   bool lacks(const Follower& follower) const;
   void look_at_digests(Nanos now, MemberId id, Follower& follower, Version at);
-  std::uint64_t digest(const std::string& scope);
   void needs_renewal(Nanos now, MemberId id, Follower& follower);
   void begin_renewal(Nanos now, Follower& follower);
   void end_renewal(Nanos now, Follower& follower, bool done);
@@ -178,7 +177,6 @@
   Nanos current_at_ = -1;
   std::map<MemberId, Follower> followers_;
   std::map<std::string, std::set<MemberId>, std::less<>> by_scope_;
-  std::map<std::string, std::uint64_t, std::less<>> digests_; // of scopes that are followed, as they are now
   std::set<std::pair<Nanos, MemberId>> wakes_;
   std::map<MemberId, Bucket> past_; // of those that went, until they would be full
   std::deque<std::pair<Nanos, MemberId>> past_order_;
--- a/control/follower.cpp
+++ b/control/follower.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-constexpr double ms = 1e6;               // ns
+constexpr double ms = 1e6;                // ns
 constexpr std::size_t most_controls = 64; // named in a file; a fleet sets aside ten
-constexpr int most_doublings = 16;       // of a rest
-constexpr double first_compare = 4;      // beats after an attachment, by chance, until digests are told
+constexpr int most_doublings = 16;        // of a rest
+constexpr double first_compare = 4;       // beats after an attachment, by chance, until digests are told
+constexpr Nanos most_rest_heeded = 60'000'000'000; // ns: who tells of more at once is looked at again by then
 
 std::string_view senseless_scopes(const std::vector<std::string>& scopes) {
   std::size_t bytes = 0;
@@ -40,6 +41,8 @@
     return "not reached";
   case LeftWhy::nearer:
     return "a nearer one is well";
+  case LeftWhy::senseless:
+    return "what it gives makes no sense, or has no room";
   }
   return "?";
 }
@@ -48,7 +51,7 @@
                    std::vector<std::string> scopes, const Given& figures, std::uint64_t seed,
                    FollowerOrders& orders)
     : orders_(orders), self_(self), chance_(seed), figures_(figures), scopes_(std::move(scopes)),
-      state_(std::make_unique<Entries>(figures)), progress_at_(now) {
+      state_(std::make_unique<Entries>(figures)), progress_at_(now), now_(now) {
   beat_ = static_cast<Nanos>(needed(figures, "control.beat", ms));
   silent_ = static_cast<Nanos>(needed(figures, "control.silent", 2 * static_cast<double>(beat_)));
   behind_ = static_cast<Nanos>(needed(figures, "control.behind", static_cast<double>(beat_)));
@@ -161,8 +164,8 @@
 }
 
 Follower::Member* Follower::heard(Nanos now, MemberId from, Incarnation to, FollowNo number) {
-  const auto at = std::find_if(members_.begin(), members_.end(),
-                               [from](const Member& one) { return one.id == from; });
+  const auto at =
+      std::find_if(members_.begin(), members_.end(), [from](const Member& one) { return one.id == from; });
   if (at == members_.end() || to != self_ || !at->line || at->number != number)
     return ++counts_.foreign, nullptr;
   at->heard_at = now;
@@ -181,8 +184,8 @@
     return;
   }
   member.ahead_since = -1;
-  if (committed == at_.taken && age >= 0 && at_.staged == at_.taken)
-    current_at_ = std::max(current_at_, now - age);
+  const bool all = at_.staged == at_.taken && (held_.size() == scopes_.size() || at_.taken == Version{});
+  if (committed == at_.taken && age >= 0 && all) current_at_ = std::max(current_at_, now - age);
 }
 
 void Follower::answer(Nanos now, Member& member) {
@@ -214,9 +217,8 @@
 }
 
 void Follower::lost(Nanos now, MemberId control) {
-  const auto at = std::find_if(members_.begin(), members_.end(), [control](const Member& one) {
-    return one.id == control && one.line;
-  });
+  const auto at = std::find_if(members_.begin(), members_.end(),
+                               [control](const Member& one) { return one.id == control && one.line; });
   if (at == members_.end()) return;
   leave(now, *at, LeftWhy::lost);
   choose(now);
@@ -227,10 +229,9 @@
 bool Follower::stage(const std::vector<Entry>& entries, Version since, Version upto, bool renewed) {
   for (const Entry& entry : entries) {
     const std::string_view scope = scope_of(entry.key);
-    const bool follows = renewed
-                             ? !entry.deleted && stage_.replaced.contains(scope)
-                             : std::find(scopes_.begin(), scopes_.end(), scope) != scopes_.end();
-    if (!follows || entry.version <= since || entry.version > upto) return ++counts_.senseless, false;
+    const bool follows = renewed ? !entry.deleted && stage_.replaced.contains(scope)
+                                 : std::find(scopes_.begin(), scopes_.end(), scope) != scopes_.end();
+    if (!follows || entry.version <= since || entry.version > upto) return false;
   }
   for (const Entry& entry : entries) {
     const auto at = stage_.entries.find(entry.key);
@@ -245,7 +246,6 @@
   }
   // Deletions that are staged count too: room for as many again.
   if (stage_.entries.size() <= 2 * most_entries_ && stage_.bytes <= 2 * most_bytes_) return true;
-  ++counts_.senseless;
   drop_stage();
   return false;
 }
@@ -270,15 +270,23 @@
     return answer(now, *member);
   }
   if (at_.renewing != Version{}) drop_stage(); // it goes on from what is taken
+  const Position before = at_;
   const bool news = !entries.empty() || at_.staged != at_.taken || !stage_.replaced.empty();
-  if (!stage(entries, since, upto, false)) return answer(now, *member);
+  const bool covers = std::all_of(scopes_.begin(), scopes_.end(), [this](const std::string& scope) {
+    return held_.contains(scope) || stage_.replaced.contains(scope);
+  });
+  if (!covers || !stage(entries, since, upto, false)) {
+    ++counts_.senseless;
+    leave(now, *member, LeftWhy::senseless);
+    return choose(now);
+  }
   at_.staged = upto;
   ++counts_.parts;
   if (whole) {
     if (at_.staged > at_.taken || !stage_.replaced.empty()) take_stage();
     told(now, *member, upto, age);
   }
-  progress_at_ = std::max(progress_at_, now);
+  if (at_ != before) progress_at_ = std::max(progress_at_, now);
   if (news) answer(now, *member);
 }
 
@@ -298,8 +306,11 @@
   const bool covers = std::all_of(scopes_.begin(), scopes_.end(), [&](const std::string& scope) {
     return held_.contains(scope) || replaced.contains(scope);
   });
-  if (replaced.size() != scopes.size() || !covers || upto > at || since > upto || at == Version{})
-    return void(++counts_.senseless);
+  if (replaced.size() != scopes.size() || !covers || upto > at || since > upto || at == Version{}) {
+    ++counts_.senseless;
+    leave(now, *member, LeftWhy::senseless);
+    return choose(now);
+  }
   const bool same = at_.renewing == at && stage_.replaced == replaced;
   if (since == Version{} && !same) {
     drop_stage();
@@ -309,16 +320,19 @@
     ++counts_.gaps;
     return answer(now, *member);
   }
-  if (stage(entries, since, upto, true)) {
-    ++counts_.parts;
-    at_.renewed = std::max(at_.renewed, upto);
-    if (at_.renewed == at) { // from here on by deltas; taken with the next that is whole
-      at_.staged = at;
-      at_.renewing = at_.renewed = {};
-      ++at_.renewals;
-      ++counts_.renewals;
-    }
-    progress_at_ = std::max(progress_at_, now);
+  if (!stage(entries, since, upto, true)) {
+    ++counts_.senseless;
+    leave(now, *member, LeftWhy::senseless);
+    return choose(now);
+  }
+  ++counts_.parts;
+  if (upto > at_.renewed || upto == at) progress_at_ = std::max(progress_at_, now);
+  at_.renewed = std::max(at_.renewed, upto);
+  if (at_.renewed == at) { // from here on by deltas; taken with the next that is whole
+    at_.staged = at;
+    at_.renewing = at_.renewed = {};
+    ++at_.renewals;
+    ++counts_.renewals;
   }
   answer(now, *member);
 }
@@ -327,7 +341,8 @@
 // for their keys stays so.
 void Follower::take_stage() {
   const Version upto = at_.staged;
-  std::vector<Entry> gone; // that a renewal left out
+  std::vector<std::string> left_out; // by a renewal
+  std::vector<Entry> gone;           // what was in force of those
   std::map<std::string, std::optional<Entry>, std::less<>> in_force_before;
   if (!stage_.replaced.empty()) {
     auto made = std::make_unique<Entries>(figures_);
@@ -337,7 +352,8 @@
         if (!replaced) {
           made->take(entry);
         } else if (const auto at = stage_.entries.find(entry.key); at == stage_.entries.end()) {
-          if (find(entry.key)) gone.push_back(entry);
+          left_out.push_back(entry.key);
+          if (const Entry* const in_force = find(entry.key)) gone.push_back(*in_force);
         } else if (at->second.version == entry.version) {
           made->take(entry); // as it was, in force or refused
         }
@@ -354,8 +370,10 @@
   }
   std::vector<const Entry*> order;
   for (const auto& [key, entry] : stage_.entries) order.push_back(&entry);
-  std::sort(order.begin(), order.end(),
-            [](const Entry* a, const Entry* b) { return a->version < b->version; });
+  // Deletions first: they make room.
+  std::sort(order.begin(), order.end(), [](const Entry* a, const Entry* b) {
+    return std::make_pair(!a->deleted, a->version) < std::make_pair(!b->deleted, b->version);
+  });
   std::vector<std::string_view> keys; // changed
   for (const Entry* const entry : order) {
     const Entry* const given = state_->find(entry->key);
@@ -371,7 +389,7 @@
     if (room) state_->take(*entry);
     if (!why.empty()) {
       ++counts_.refused;
-      in_force_.insert_or_assign(entry->key, before);
+      if (room) in_force_.insert_or_assign(entry->key, before);
       orders_.refused(*entry, why);
       continue;
     }
@@ -379,9 +397,10 @@
     const bool was = before.has_value();
     if (entry->deleted ? was : !was || before->value != entry->value) keys.push_back(entry->key);
   }
+  for (const std::string& key : left_out) in_force_.erase(key);
   for (Entry& entry : gone) {
-    in_force_.erase(entry.key);
     entry.deleted = true;
+    entry.version = upto;
     entry.value.clear();
   }
   state_->reached(upto);
@@ -392,7 +411,7 @@
   std::vector<const Entry*> changed;
   for (const std::string_view key : keys) changed.push_back(&stage_.entries.find(key)->second);
   for (const Entry& entry : gone) changed.push_back(&entry);
-  const Stage taken = std::exchange(stage_, {}); // held until the order returns
+  const Stage held_on = std::exchange(stage_, {}); // until the order returns
   if (renewed || !changed.empty()) orders_.taken(upto, changed);
 }
 
@@ -401,8 +420,8 @@
   // A renewal that came to its end is staged, and goes on by deltas from whomever.
   const bool staged = at_.renewing == Version{};
   for (const std::string& scope : scopes_)
-    all.push_back({scope, state_->digest(scope),
-                   held_.contains(scope) || (staged && stage_.replaced.contains(scope))});
+    all.push_back(
+        {scope, state_->digest(scope), held_.contains(scope) || (staged && stage_.replaced.contains(scope))});
   return all;
 }
 
@@ -430,8 +449,7 @@
 // ---- the state
 
 const Entry* Follower::find(std::string_view key) const {
-  if (const auto at = in_force_.find(key); at != in_force_.end())
-    return at->second ? &*at->second : nullptr;
+  if (const auto at = in_force_.find(key); at != in_force_.end()) return at->second ? &*at->second : nullptr;
   const Entry* const entry = state_->find(key);
   return entry && !entry->deleted ? entry : nullptr;
 }
@@ -510,7 +528,8 @@
     if (member.line)
       all.push_back(
           {member.id, member.primary, member.heard, member.since, member.heard_at, member.committed});
-  std::stable_sort(all.begin(), all.end(), [](const Line& a, const Line& b) { return a.primary > b.primary; });
+  std::stable_sort(all.begin(), all.end(),
+                   [](const Line& a, const Line& b) { return a.primary > b.primary; });
   return all;
 }
 
--- a/control/follower.hpp
+++ b/control/follower.hpp
@@ -25,12 +25,20 @@
 
 #include "following.hpp"
 
+#include <memory>
 #include <optional>
 #include <set>
 
 namespace cometshift {
 
-enum class LeftWhy { silent, blank, behind, lost, nearer }; // why a control member is no longer followed so
+enum class LeftWhy {
+  silent,
+  blank,
+  behind,
+  lost,
+  nearer,
+  senseless
+}; // why a control member is no longer followed so
 std::string_view word_of(LeftWhy why);
 
 class FollowerOrders {
@@ -47,7 +55,8 @@
   virtual std::string check(const Entry& entry) = 0;
   virtual void refused(const Entry& entry, std::string_view why) = 0;
   // The state is of that version now. `changed`: what is in force otherwise than before, by key; deleted
-  // ones say so. Scopes that are followed no more don't count as changed.
+  // ones say so. Told where something changed, and after each renewal. Scopes that are followed no more don't
+  // count as changed.
   virtual void taken(Version version, const std::vector<const Entry*>& changed) = 0;
   // A line was left, or a nearer one made the primary; for the log.
   virtual void left(MemberId control, LeftWhy why) = 0;
@@ -137,21 +146,21 @@
   struct Stage {
     std::map<std::string, Entry, std::less<>> entries;
     std::set<std::string, std::less<>> replaced; // scopes
-    std::vector<std::uint16_t> renewal;          // as told, while the renewal goes on
     std::size_t bytes = 0;
   };
 
   Member* heard(Nanos now, MemberId from, Incarnation to, FollowNo number);
   Member* primary();
   Member* secondary();
+  Member* next_best(Nanos now);
   void choose(Nanos now);
   void attach(Nanos now, Member& member, bool as_primary);
   void leave(Nanos now, Member& member, LeftWhy why);
-  void turn(Nanos now, LeftWhy why); // the secondary is the primary now
+  Nanos behind_at(const Member& second) const;
   void answer(Nanos now, Member& member);
   void told(Nanos now, Member& member, Version committed, Nanos age);
-  bool stage(const std::vector<Entry>& entries, Version since, Version upto);
-  void take_stage(Nanos now);
+  bool stage(const std::vector<Entry>& entries, Version since, Version upto, bool renewed);
+  void take_stage();
   void drop_stage();
   std::vector<ScopeHeld> held() const;
 
@@ -164,12 +173,12 @@
   std::vector<Member> members_; // nearest first
   std::vector<std::string> scopes_;
   std::set<std::string, std::less<>> held_; // scopes of which the state has all up to `taken`
-  Entries state_;                           // as given, those that were refused too
+  std::unique_ptr<Entries> state_;          // as given, those that were refused too
   std::map<std::string, std::optional<Entry>, std::less<>> in_force_; // of keys whose newest was refused
   Position at_;
   Stage stage_;
   std::uint64_t numbers_ = 0;
-  Nanos current_at_ = -1, progress_at_ = 0, next_compare_ = 0;
+  Nanos current_at_ = -1, progress_at_, next_compare_ = 0, now_;
   Counts counts_;
 };
 
