--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -207,7 +207,8 @@
 
 void Feed::unfollow(Nanos now, MemberId from, Incarnation of, FollowNo number) {
   const auto at = followers_.find(from);
-  if (at != followers_.end() && at->second.of == of && at->second.number == number)
+  // Also of an attachment whose word never came here.
+  if (at != followers_.end() && at->second.of == of && at->second.number <= number)
     drop(from, at->second, now);
 }
 
--- /dev/null
+++ b/tests/control_directory.cpp
@@ -0,0 +1,376 @@
+// The directory of members: what one control member says and sees, step by step; then several of them from
+// seeds, on a network that loses, doubles and delays, with members that move, stop, leave and start anew;
+// then what a change costs. With arguments: so many seeds only, to the first that goes wrong ("stop").
+#include "directory.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <memory>
+#include <queue>
+
+using namespace cometshift;
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos second = 1000 * ms;
+
+Given figures(double members) {
+  return {{"control.beat", 500e6}, {"control.silent", 1600e6},   {"control.forget", 5e9},
+          {"control.answer", 3e8}, {"control.most_part", 400.0}, {"control.most_members", members}};
+}
+MemberRecord record(unsigned member, std::uint64_t life, std::uint64_t attached, const char* zone = "a") {
+  return {MemberId{member},
+          Incarnation{life},
+          FollowNo{attached},
+          "10.0.0." + std::to_string(member),
+          zone,
+          5,
+          {},
+          {}};
+}
+void say(const char* what) { std::printf("# %s\n", what); }
+
+struct Printed final : DirectoryOrders {
+  bool quiet = false;
+  void part(MemberId to, PartNo from, PartNo upto, PartNo last, std::uint64_t,
+            const std::vector<const MemberRecord*>& records) override {
+    if (quiet && records.empty()) return;
+    std::printf("  to %u part %llu to %llu of %llu:", to.raw, static_cast<unsigned long long>(from.raw),
+                static_cast<unsigned long long>(upto.raw), static_cast<unsigned long long>(last.raw));
+    for (const MemberRecord* one : records)
+      std::printf(" %u %s", one->member.raw, std::string(word_of(one->presence)).c_str());
+    std::printf("\n");
+  }
+  void have(MemberId to, Incarnation, PartNo upto) override {
+    std::printf("  to %u have %llu\n", to.raw, static_cast<unsigned long long>(upto.raw));
+  }
+  void news(const MemberRecord& m, Presence before) override {
+    std::printf("  news of %u/%llu: %s, was %s\n", m.member.raw,
+                static_cast<unsigned long long>(m.incarnation.raw), std::string(word_of(m.presence)).c_str(),
+                std::string(word_of(before)).c_str());
+  }
+  void doubled(MemberId member) override { std::printf("  %u lives twice\n", member.raw); }
+};
+
+struct Driver {
+  Printed out;
+  Directory directory;
+  Nanos now = 0;
+  explicit Driver(double members = 3)
+      : directory(0, MemberId{1}, Incarnation{11}, {MemberId{1}, MemberId{2}}, figures(members), out) {}
+  void to(Nanos time) {
+    for (Nanos next; (next = directory.next_wake()) >= 0 && next <= time * ms;) {
+      now = std::max(now, next);
+      directory.due(now);
+    }
+    directory.due(now = time * ms);
+  }
+  void part(PartNo since, PartNo upto, PartNo last, std::vector<MemberRecord> records,
+            std::uint64_t of = 22) {
+    directory.part(now, MemberId{2}, Incarnation{of}, since, upto, last, 0, records);
+  }
+};
+MemberRecord told(MemberRecord record, Presence presence, std::uint64_t number) {
+  record.presence = presence;
+  record.number = PartNo{number};
+  return record;
+}
+void zones(const Directory& directory) {
+  for (const auto& [zone, one] : directory.summary())
+    std::printf("  zone %s: well %zu, silent %zu, left %zu\n", zone.c_str(), one.well, one.silent, one.left);
+}
+
+void steps() {
+  {
+    say("what follows here is told to those who are heard, by changes; silent, left, well again, forgotten");
+    Driver s;
+    s.directory.attached(0, record(20, 1, 5));
+    s.part({}, {}, {}, {});
+    s.to(0);
+    s.directory.have(s.now, MemberId{2}, Incarnation{11}, PartNo{1});
+    s.directory.attached(s.now, record(21, 1, 3, "b"));
+    s.directory.left(s.now, MemberId{21}, Incarnation{1});
+    s.to(0);
+    s.directory.have(s.now, MemberId{2}, Incarnation{11}, PartNo{3});
+    zones(s.directory);
+    s.out.quiet = true;
+    s.to(1500);
+    s.part({}, {}, {}, {});
+    s.to(1700);
+    s.directory.heard(s.now, MemberId{20}, Incarnation{1});
+    s.to(6000);
+    zones(s.directory);
+  }
+  {
+    say("room for three; where two tell of one: well goes first, then the newest attachment");
+    Driver s;
+    s.out.quiet = true;
+    s.directory.attached(0, record(20, 1, 5));
+    s.part({}, PartNo{2}, PartNo{2},
+           {told(record(20, 1, 4), Presence::silent, 1), told(record(21, 1, 1), Presence::well, 2)});
+    s.directory.detached(0, MemberId{20}, Incarnation{1});
+    s.directory.attached(0, record(22, 1, 1));
+    s.directory.attached(0, record(23, 1, 1));
+    std::printf("  refused at one's own: %d, counted %llu\n", s.directory.attached(0, record(24, 1, 1)),
+                static_cast<unsigned long long>(s.directory.counts().refused));
+  }
+  {
+    say("a gap in a part is told to its owner; a part of a new life takes the old one's place when it is "
+        "whole");
+    Driver s;
+    s.out.quiet = true;
+    s.part({}, PartNo{1}, PartNo{1}, {told(record(20, 1, 1), Presence::well, 1)});
+    s.part(PartNo{2}, PartNo{3}, PartNo{3}, {told(record(21, 1, 1), Presence::well, 3)});
+    s.part({}, PartNo{1}, PartNo{2}, {told(record(21, 1, 2), Presence::well, 1)}, 23);
+    s.part(PartNo{1}, PartNo{2}, PartNo{2}, {told(record(22, 1, 2), Presence::well, 2)}, 23);
+    s.part({}, PartNo{1}, PartNo{1}, {told(record(20, 1, 1), Presence::well, 1)}); // of the life before
+    say("its owner is silent: so are they; forgotten later");
+    s.to(1700);
+    s.to(5100);
+  }
+  {
+    say("a life that was replaced speaks on: two under one number; so where two control members hear one "
+        "each");
+    Driver s;
+    s.out.quiet = true;
+    s.directory.attached(0, record(20, 1, 5));
+    s.directory.attached(0, record(20, 2, 6));
+    s.directory.heard(2 * second, MemberId{20}, Incarnation{1});
+    s.part({}, PartNo{1}, PartNo{1}, {told(record(21, 1, 1), Presence::well, 1)});
+    s.directory.attached(0, record(21, 2, 2));
+    for (Nanos t = 500; t <= 4000; t += 500) {
+      s.to(t);
+      s.directory.heard(s.now, MemberId{21}, Incarnation{2});
+      s.directory.heard(s.now, MemberId{20}, Incarnation{2});
+      s.part(PartNo{1}, PartNo{1}, PartNo{1}, {});
+    }
+  }
+}
+
+// ---- several of them
+
+class World {
+  struct Owner final : DirectoryOrders {
+    World& world;
+    MemberId id;
+    std::uint64_t lives = 0;
+    std::unique_ptr<Directory> directory;
+    Owner(World& w, MemberId i) : world(w), id(i) {}
+    Incarnation life() const { return Incarnation{id.raw * 1000 + lives}; }
+    void part(MemberId to, PartNo from, PartNo upto, PartNo last, std::uint64_t digest,
+              const std::vector<const MemberRecord*>& records) override {
+      std::vector<MemberRecord> all;
+      for (const MemberRecord* one : records) all.push_back(*one);
+      world.send(to, [=, of = life(), from_id = id](Directory& at, Nanos now) {
+        at.part(now, from_id, of, from, upto, last, digest, all);
+      });
+    }
+    void have(MemberId to, Incarnation owner, PartNo upto) override {
+      world.send(to, [=, from_id = id](Directory& at, Nanos now) { at.have(now, from_id, owner, upto); });
+    }
+    void news(const MemberRecord&, Presence) override {}
+    void doubled(MemberId) override { ++world.doubled; }
+  };
+  struct Line {
+    std::size_t owner = 0;
+    std::uint64_t life = 0; // of the owner that knows of it
+    FollowNo number{};
+  };
+  struct Member {
+    std::uint64_t lives = 1;
+    bool up = true, left = false;
+    Line lines[2];
+  };
+  Pcg chance_;
+  std::vector<std::unique_ptr<Owner>> owners_;
+  std::vector<Member> members_;
+  std::uint64_t numbers_ = 0;
+  using Event = std::pair<std::pair<Nanos, std::uint64_t>, std::function<void()>>;
+  struct Later {
+    bool operator()(const Event& a, const Event& b) const { return a.first > b.first; }
+  };
+  std::priority_queue<Event, std::vector<Event>, Later> queue_;
+  std::uint64_t order_ = 0;
+  Nanos now_ = 0;
+  static constexpr Nanos quiet = 12 * second, length = 22 * second;
+
+ public:
+  std::uint64_t doubled = 0, begun_anew = 0, repeats = 0;
+
+  explicit World(std::uint64_t seed) : chance_(seed), members_(20 + seed % 30) {
+    for (unsigned o = 1; o <= 3 + seed % 4; ++o)
+      owners_.push_back(std::make_unique<Owner>(*this, MemberId{o}));
+    for (auto& owner : owners_) start(*owner);
+    for (Member& member : members_) choose(member);
+    tick();
+  }
+  std::string play() {
+    while (!queue_.empty() && queue_.top().first.first <= length) {
+      const auto what = std::move(const_cast<Event&>(queue_.top()).second);
+      now_ = queue_.top().first.first;
+      queue_.pop();
+      what();
+    }
+    for (const auto& owner : owners_) {
+      begun_anew += owner->directory->counts().begun_anew;
+      repeats += owner->directory->counts().repeats;
+      std::map<std::string, Directory::Zone, std::less<>> zones;
+      owner->directory->list({}, [&](const MemberRecord& one) {
+        ++(one.presence == Presence::well   ? zones[one.zone].well
+           : one.presence == Presence::left ? zones[one.zone].left
+                                            : zones[one.zone].silent);
+        return true;
+      });
+      if (zones != owner->directory->summary()) return "a summary that is not of the list";
+      for (unsigned m = 0; m < members_.size(); ++m) {
+        const Member& member = members_[m];
+        const MemberRecord* const seen = owner->directory->find(MemberId{100 + m});
+        const std::string who = std::to_string(owner->id.raw) + " of " + std::to_string(100 + m);
+        if (!member.up && seen) return who + ": remembered, though it is gone for long";
+        if (member.up && (!seen || seen->presence != Presence::well)) return who + ": not well";
+        if (member.up && seen->incarnation.raw != member.lives) return who + ": another life";
+      }
+    }
+    return doubled > 0 ? "doubled, and none was" : "";
+  }
+
+ private:
+  Nanos part(Nanos of) { return static_cast<Nanos>(chance_.unit() * static_cast<double>(of)); }
+  void at(Nanos when, std::function<void()> what) { queue_.push({{when, order_++}, std::move(what)}); }
+  void start(Owner& owner) {
+    ++owner.lives;
+    std::vector<MemberId> all;
+    for (const auto& one : owners_) all.push_back(one->id);
+    owner.directory = std::make_unique<Directory>(now_, owner.id, owner.life(), all, figures(100), owner);
+  }
+  void send(MemberId to, std::function<void(Directory&, Nanos)> what) {
+    const bool faults = now_ < quiet;
+    for (int copies = faults && chance_.unit() < 0.2   ? 0
+                      : faults && chance_.unit() < 0.2 ? 2
+                                                       : 1;
+         copies > 0; --copies) {
+      const Nanos takes = ms + part(faults && chance_.unit() < 0.1 ? 3 * second : 40 * ms);
+      at(now_ + takes, [this, to, what] { what(*owners_[to.raw - 1]->directory, now_); });
+    }
+  }
+  void attach(Member& member, Line& line) {
+    Owner& owner = *owners_[line.owner];
+    line.life = owner.lives;
+    line.number = FollowNo{++numbers_};
+    MemberRecord made = record(100 + static_cast<unsigned>(&member - members_.data()), member.lives,
+                               line.number.raw, &member - members_.data() < 10 ? "a" : "b");
+    owner.directory->attached(now_, made);
+  }
+  void choose(Member& member) {
+    member.lines[0].owner = chance_.next() % owners_.size();
+    member.lines[1].owner =
+        (member.lines[0].owner + 1 + chance_.next() % (owners_.size() - 1)) % owners_.size();
+    for (Line& line : member.lines) attach(member, line);
+  }
+  MemberId id(const Member& member) const {
+    return MemberId{100 + static_cast<unsigned>(&member - members_.data())};
+  }
+  void trouble(Member& member) {
+    const double what = chance_.unit();
+    const Incarnation life{member.lives};
+    if (what < 0.4 && member.up) { // moves; not always with a word
+      const Line old = member.lines[0];
+      if (chance_.unit() < 0.7) owners_[old.owner]->directory->detached(now_, id(member), life);
+      choose(member);
+    } else if (what < 0.6) { // starts anew
+      ++member.lives;
+      member.up = true;
+      choose(member);
+    } else if (what < 0.8 && member.up) { // is gone, perhaps with a word
+      member.up = false;
+      if (chance_.unit() < 0.5) owners_[member.lines[0].owner]->directory->left(now_, id(member), life);
+    } else if (!member.up) {
+      ++member.lives;
+      member.up = true;
+      choose(member);
+    }
+  }
+  void tick() {
+    if (now_ < quiet) {
+      for (Member& member : members_)
+        if (chance_.unit() < 0.05) trouble(member);
+      if (chance_.unit() < 0.03) start(*owners_[chance_.next() % owners_.size()]);
+    }
+    for (Member& member : members_)
+      for (Line& line : member.lines) {
+        if (!member.up) continue;
+        if (line.life != owners_[line.owner]->lives)
+          attach(member, line);
+        else
+          owners_[line.owner]->directory->heard(now_, id(member), Incarnation{member.lives});
+      }
+    for (auto& owner : owners_) owner->directory->due(now_);
+    at(now_ + 100 * ms, [this] { tick(); });
+  }
+};
+
+int many(std::uint64_t seeds, bool stop) {
+  std::uint64_t wrong = 0, begun_anew = 0, repeats = 0;
+  std::string first;
+  for (std::uint64_t seed = 1; seed <= seeds && !(stop && wrong > 0); ++seed) {
+    World world(seed);
+    const std::string what = world.play();
+    begun_anew += world.begun_anew;
+    repeats += world.repeats;
+    if (what.empty()) continue;
+    if (wrong++ == 0) first = "seed " + std::to_string(seed) + ", " + what;
+  }
+  std::printf("%llu seeds, wrong %llu; parts repeated %llu, begun anew by their digest %llu\n",
+              static_cast<unsigned long long>(seeds), static_cast<unsigned long long>(wrong),
+              static_cast<unsigned long long>(repeats), static_cast<unsigned long long>(begun_anew));
+  if (!first.empty()) std::printf("  first: %s\n", first.c_str());
+  return wrong > 0 ? 1 : 0;
+}
+
+struct Silent final : DirectoryOrders {
+  std::size_t records = 0;
+  void part(MemberId, PartNo, PartNo, PartNo, std::uint64_t,
+            const std::vector<const MemberRecord*>& all) override {
+    records += all.size();
+  }
+  void have(MemberId, Incarnation, PartNo) override {}
+  void news(const MemberRecord&, Presence) override {}
+  void doubled(MemberId) override {}
+};
+int cost() {
+  std::printf("  looked at and told for a member's change, of 100 to 10,000:");
+  bool flat = true;
+  for (const unsigned all : {100u, 300u, 1000u, 3000u, 10000u}) {
+    Given given = figures(all);
+    given["control.most_part"] = 1e7;
+    Silent out;
+    Directory directory(0, MemberId{1}, Incarnation{1}, {MemberId{2}}, given, out);
+    for (unsigned i = 0; i < all; ++i) directory.attached(0, record(100 + i, 1, 1));
+    directory.part(0, MemberId{2}, Incarnation{2}, {}, {}, {}, 0, {});
+    directory.due(0);
+    directory.have(0, MemberId{2}, Incarnation{1}, PartNo{all});
+    const std::uint64_t before = directory.counts().looked_at;
+    out.records = 0;
+    directory.attached(0, record(100, 2, 2));
+    directory.due(0);
+    const std::uint64_t looked = directory.counts().looked_at - before;
+    std::printf(" %llu/%zu", static_cast<unsigned long long>(looked), out.records);
+    flat = flat && looked < 5 && out.records == 1;
+  }
+  std::printf("\n");
+  return flat ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  if (argc > 1) return many(std::strtoull(argv[1], nullptr, 10), argc > 2 && !std::strcmp(argv[2], "stop"));
+  steps();
+  say("several of them, members that move, stop, leave and start anew");
+  int wrong = many(100, false);
+  say("what a change costs");
+  wrong += cost();
+  return wrong;
+}
--- /dev/null
+++ b/tests/control_feed.cpp
@@ -0,0 +1,578 @@
+// The hand-out: what a control member and a server say, step by step; then fleets from seeds, with a referee
+// (fleet_of_followers.hpp); then what a change costs. With arguments: so many seeds only, to the first that
+// goes wrong ("stop"), and what went wrong.
+#include "fleet_of_followers.hpp"
+
+#include <cmath>
+#include <cstdlib>
+#include <cstring>
+
+namespace {
+
+Given figures() {
+  return {{"control.beat", 1e9},           {"control.silent", 3e9},         {"control.answer", 1e9},
+          {"control.most_part", 400.0},    {"control.rate", 1000.0},        {"control.burst", 1000.0},
+          {"control.total_rate", 1e5},     {"control.total_burst", 1e5},    {"control.most_key", 40.0},
+          {"control.most_value", 200.0},   {"control.most_followers", 3.0}, {"control.most_whole", 1.0},
+          {"control.behind", 2e9},         {"control.settle", 4e9},         {"control.rest_least", 1e9},
+          {"control.rest_most", 8e9},      {"control.compare", 60e9},       {"control.most_entries", 100.0},
+          {"control.most_bytes", 10000.0}, {"control.most_deleted", 2.0}};
+}
+void say(const char* what) { std::printf("# %s\n", what); }
+std::string told(Version v) {
+  return v == Version{} ? "none" : std::to_string(v.token.raw) + "." + std::to_string(v.number);
+}
+std::string told(const Position& at) {
+  std::string text = told(at.taken);
+  if (at.staged != at.taken) text += ", staged " + told(at.staged);
+  if (at.renewing != Version{}) text += ", renewing " + told(at.renewing) + " up to " + told(at.renewed);
+  return text;
+}
+std::string told(const Entry& entry) {
+  return " " + entry.key + (entry.deleted ? " gone" : "=" + entry.value.substr(0, 8)) + "@" +
+         told(entry.version);
+}
+Version v(std::uint64_t number, std::uint64_t token = 7) { return {Token{token}, number}; }
+Entry put(const char* key, std::uint64_t number, const std::string& value, std::uint64_t token = 7) {
+  return {key, value, v(number, token), MemberId{1}, false};
+}
+Entry gone(const char* key, std::uint64_t number) { return {key, "", v(number), MemberId{1}, true}; }
+
+struct PrintedFeed final : FeedOrders {
+  Nanos now = 0;
+  void line(MemberId to, FollowNo n, const std::string& what) const {
+    std::printf("  %5lld to %u/%llu %s\n", static_cast<long long>(now / ms), to.raw,
+                static_cast<unsigned long long>(n.raw), what.c_str());
+  }
+  static std::string list(const std::vector<const Entry*>& entries) {
+    std::string text;
+    for (const Entry* entry : entries) text += told(*entry);
+    return text;
+  }
+  void delta(MemberId to, Incarnation, FollowNo n, Version from, Version upto, bool whole, Nanos,
+             const std::vector<const Entry*>& entries) override {
+    line(to, n, "delta " + told(from) + " to " + told(upto) + (whole ? ", whole:" : ":") + list(entries));
+  }
+  void renewal(MemberId to, Incarnation, FollowNo n, Version at, const std::vector<std::uint16_t>& scopes,
+               Version from, Version upto, const std::vector<const Entry*>& entries) override {
+    line(to, n,
+         "renewal at " + told(at) + " of " + std::to_string(scopes.size()) + " scopes, " + told(from) +
+             " to " + told(upto) + ":" + list(entries));
+  }
+  void beat(MemberId to, Incarnation, FollowNo n, Version committed, Nanos age) override {
+    line(to, n, "beat at " + told(committed) + ", " + std::to_string(age / ms) + " ms old");
+  }
+  void rest(MemberId to, Incarnation, FollowNo n, Nanos) override { line(to, n, "rest"); }
+  void elsewhere(MemberId to, Incarnation, FollowNo n) override { line(to, n, "elsewhere"); }
+  void again(MemberId to, Incarnation, FollowNo n) override { line(to, n, "again"); }
+};
+
+struct FeedDriver {
+  PrintedFeed out;
+  Entries state{figures()};
+  Feed feed{0, state, figures(), 1, out};
+  void commit(const Entry& entry) {
+    state.take(entry);
+    feed.committed(out.now, entry);
+  }
+  void to(Nanos time) {
+    for (Nanos next; (next = feed.next_wake()) >= 0 && next <= time * ms;) {
+      out.now = std::max(out.now, next);
+      feed.due(out.now);
+    }
+    out.now = time * ms;
+    feed.due(out.now);
+  }
+  void follow(unsigned from, std::uint64_t number, Version at, std::vector<ScopeHeld> scopes,
+              bool primary = true) {
+    feed.follow(out.now, MemberId{from}, Incarnation{from}, FollowNo{number}, primary, {at, at, {}, {}, 0},
+                scopes);
+    feed.due(out.now);
+  }
+  void have(unsigned from, std::uint64_t number, Position at) {
+    feed.have(out.now, MemberId{from}, Incarnation{from}, FollowNo{number}, at);
+    feed.due(out.now);
+  }
+};
+
+void steps_of_a_feed() {
+  {
+    say("blank: nothing is given; brought up: a server that has nothing gets a renewal, then the delta "
+        "behind it");
+    FeedDriver s;
+    s.commit(put("a/x", 1, "1"));
+    s.follow(20, 1, {}, {{"a", 0, false}});
+    s.feed.ready(0);
+    s.have(20, 1, {});
+    s.follow(20, 2, {}, {{"a", 0, false}});
+    s.commit(put("a/y", 2, "2"));
+    s.have(20, 2, {{}, v(1), {}, {}, 1});
+    s.have(20, 2, {v(2), v(2), {}, {}, 1});
+    say("changes that come together go together, the newest of a key; what is of other scopes goes with a "
+        "beat");
+    s.commit(put("a/x", 3, "3"));
+    s.commit(put("a/x", 4, "4"));
+    s.commit(put("b/x", 5, "5"));
+    s.to(10);
+    s.have(20, 2, {v(5), v(5), {}, {}, 1});
+    s.commit(put("b/x", 6, "6"));
+    s.to(1200);
+    say("no answer: the same again, later each time; silent: dropped");
+    s.commit(put("a/x", 7, "7"));
+    s.to(5000);
+    s.have(20, 2, {v(7), v(7), {}, {}, 1});
+  }
+  {
+    say("a long delta goes in parts, one under way at a time, within the credit; a commit between is in the "
+        "last");
+    FeedDriver s;
+    s.feed.ready(0);
+    s.commit(put("a/o", 1, "o"));
+    s.follow(20, 1, v(1), {{"a", s.state.digest("a"), true}});
+    for (std::uint64_t i = 2; i < 8; ++i)
+      s.commit(put(("a/" + std::to_string(i)).c_str(), i, std::string(100, 'x')));
+    s.to(10);
+    s.have(20, 1, {v(1), v(3), {}, {}, 0});
+    s.commit(put("a/2", 8, "new"));
+    s.have(20, 1, {v(1), v(5), {}, {}, 0});
+    s.to(900);
+    s.have(20, 1, {v(8), v(8), {}, {}, 0});
+    say("deletions after its version are forgotten: a renewal; of the scopes alone whose digests differ");
+    s.commit(gone("a/2", 9));
+    s.commit(gone("a/3", 10));
+    s.commit(gone("a/4", 11));
+    s.commit(put("b/x", 12, "b"));
+    s.to(5000);
+    s.follow(20, 2, v(8), {{"a", 1, true}, {"b", s.state.digest("b"), true}});
+    s.to(5010);
+  }
+  {
+    say("one renewal at a time: the other waits in line, is told so, and goes when there is a place");
+    FeedDriver s;
+    s.feed.ready(0);
+    s.commit(put("a/x", 1, "1"));
+    s.follow(20, 1, {}, {{"a", 0, false}});
+    s.follow(21, 1, {}, {{"a", 0, false}});
+    s.follow(22, 1, v(1), {{"a", s.state.digest("a"), true}}, false);
+    s.follow(23, 1, {}, {{"a", 0, false}});
+    s.have(20, 1, {{}, v(1), {}, {}, 1});
+    say("digests that differ at one version: a renewal; who is ahead gets nothing but the version here");
+    s.have(21, 1, {v(1), v(1), {}, {}, 1});
+    s.feed.compare(s.out.now, MemberId{20}, Incarnation{20}, FollowNo{1}, v(1), {5});
+    s.have(20, 1, {v(3), v(3), {}, {}, 1});
+    s.to(1100);
+    say("blank again: all are sent elsewhere");
+    s.feed.blank(s.out.now);
+  }
+}
+
+struct PrintedFollower final : FollowerOrders {
+  Nanos now = 0;
+  void line(const std::string& what) const {
+    std::printf("  %5lld %s\n", static_cast<long long>(now / ms), what.c_str());
+  }
+  static std::string name(MemberId to, FollowNo n) {
+    return std::to_string(to.raw) + "/" + std::to_string(n.raw);
+  }
+  void follow(MemberId to, FollowNo n, bool primary, const Position& at,
+              const std::vector<ScopeHeld>& scopes) override {
+    std::string text = "follow " + name(to, n) + (primary ? " first" : " second") + " at " + told(at) + ":";
+    for (const ScopeHeld& one : scopes) text += " " + one.scope + (one.held ? "" : " (new)");
+    line(text);
+  }
+  void unfollow(MemberId to, FollowNo n) override { line("unfollow " + name(to, n)); }
+  bool quiet = false;
+  void have(MemberId to, FollowNo n, const Position& at) override {
+    if (!quiet) line("have " + name(to, n) + " " + told(at));
+  }
+  void compare(MemberId to, FollowNo n, Version at, const std::vector<std::uint64_t>& digests) override {
+    if (!quiet)
+      line("compare " + name(to, n) + " at " + told(at) + ", " + std::to_string(digests.size()) + " scopes");
+  }
+  std::string check(const Entry& entry) override { return entry.value == "bad" ? "no such thing" : ""; }
+  void refused(const Entry& entry, std::string_view why) override {
+    line("refused" + told(entry) + ": " + std::string(why));
+  }
+  void taken(Version version, const std::vector<const Entry*>& changed) override {
+    std::string text = "taken " + told(version) + ":";
+    for (const Entry* entry : changed) text += told(*entry);
+    line(text);
+  }
+  void left(MemberId control, LeftWhy why) override {
+    line("left " + std::to_string(control.raw) + ": " + std::string(word_of(why)));
+  }
+};
+
+struct FollowerDriver {
+  PrintedFollower out;
+  std::map<MemberId, FollowNo> numbers;
+  Follower follower;
+  explicit FollowerDriver(std::vector<Follower::Control> controls = {{MemberId{1}, "r", "a"},
+                                                                     {MemberId{2}, "r", "b"},
+                                                                     {MemberId{3}, "q", "c"}})
+      : follower(0, Incarnation{9}, {"r", "a"}, controls, {"a", "b"}, figures(), 1, out) {
+    follower.due(0);
+  }
+  void to(Nanos time) {
+    for (Nanos next; (next = follower.next_wake()) >= 0 && next <= time * ms;) {
+      out.now = std::max(out.now, next);
+      follower.due(out.now);
+    }
+    out.now = time * ms;
+    follower.due(out.now);
+  }
+  void delta(unsigned from, std::uint64_t n, Version since, Version upto, bool whole,
+             std::vector<Entry> entries) {
+    follower.delta(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, since, upto, whole, 0, entries);
+  }
+  void renewal(unsigned from, std::uint64_t n, Version at, std::vector<std::uint16_t> scopes, Version since,
+               Version upto, std::vector<Entry> entries) {
+    follower.renewal(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, at, scopes, since, upto, entries);
+  }
+  void beat(unsigned from, std::uint64_t n, Version committed) {
+    follower.beat(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, committed, 0);
+  }
+  void well(Nanos until, std::initializer_list<std::pair<unsigned, std::uint64_t>> lines, Version at) {
+    while (out.now < until * ms) {
+      to(out.now / ms + 500);
+      for (const auto& [from, n] : lines) beat(from, n, at);
+    }
+  }
+  void begin() {
+    renewal(1, 1, v(2), {0, 1}, {}, v(2), {put("a/x", 1, "1"), put("b/y", 2, "2")});
+    delta(1, 1, v(2), v(2), true, {});
+  }
+};
+
+void steps_of_a_follower() {
+  {
+    say("nearest first; a renewal in two parts is staged, and taken with the delta behind it");
+    FollowerDriver s;
+    s.renewal(1, 1, v(2), {0, 1}, {}, v(1), {put("a/x", 1, "1")});
+    s.renewal(1, 1, v(2), {0, 1}, v(1), v(2), {put("b/y", 2, "2")});
+    s.delta(1, 1, v(2), v(3), true, {put("a/x", 3, "3")});
+    say("a gap before it: not taken, and told; of the past, of another attachment, of the second line: not "
+        "taken");
+    s.delta(1, 1, v(5), v(6), true, {put("a/x", 6, "6")});
+    s.delta(1, 1, v(1), v(2), true, {put("a/x", 2, "old")});
+    s.delta(1, 7, v(3), v(4), true, {put("a/x", 4, "4")});
+    s.delta(2, 2, v(3), v(4), true, {put("a/x", 4, "4")});
+    s.renewal(1, 1, v(2), {0, 1}, {}, v(2), {});
+    say("a long delta: nothing changes before its last part");
+    s.delta(1, 1, v(3), v(4), false, {put("a/x", 4, "4")});
+    std::printf("  in force: %s\n", s.follower.find("a/x")->value.c_str());
+    s.delta(1, 1, v(4), v(6), true, {gone("b/y", 5), put("b/z", 6, "6")});
+    say("an entry that is refused leaves what was in force; the version goes on; so over a deletion");
+    s.delta(1, 1, v(6), v(8), true, {put("a/x", 7, "bad"), put("b/z", 8, "8")});
+    std::printf("  in force: %s, keys refused %zu\n", s.follower.find("a/x")->value.c_str(),
+                s.follower.keys_refused());
+    s.delta(1, 1, v(8), v(9), true, {gone("a/x", 9)});
+    std::printf("  in force: %s, keys refused %zu\n", s.follower.find("a/x") ? "some" : "none",
+                s.follower.keys_refused());
+    say("a renewal of one scope takes what it leaves out; the other stays");
+    s.renewal(1, 1, v(10), {1}, {}, v(10), {put("b/w", 10, "10")});
+    s.delta(1, 1, v(10), v(10), true, {});
+    say("entries of a scope that isn't followed: who says so is left; scopes that change: followed anew");
+    s.delta(1, 1, v(10), v(11), true, {put("c/x", 11, "11")});
+    s.follower.set_scopes(s.out.now, {"b", "c"});
+  }
+  {
+    say("silent: left for the second, which is the first now; it keeps the last state and says how old it "
+        "is");
+    FollowerDriver s;
+    s.begin();
+    s.out.quiet = true;
+    s.well(3000, {{2, 2}}, v(2));
+    s.well(8000, {}, v(2));
+    std::printf("  has %s, %lld ms old\n", told(s.follower.version()).c_str(),
+                static_cast<long long>(s.follower.age(s.out.now) / ms));
+  }
+  {
+    say("a nearer one comes back: tried as the second, the first after it was well for long");
+    FollowerDriver s;
+    s.begin();
+    s.out.quiet = true;
+    s.follower.elsewhere(s.out.now, MemberId{1}, Incarnation{9}, FollowNo{1});
+    s.well(14000, {{2, 3}, {3, 4}, {1, 5}}, v(2));
+  }
+  {
+    say("the first gives nothing while the second is ahead: they change places");
+    FollowerDriver s;
+    s.begin();
+    s.out.quiet = true;
+    s.well(1000, {{1, 1}, {2, 2}}, v(2));
+    while (s.out.now < 4000 * ms) {
+      s.to(s.out.now / ms + 500);
+      s.beat(1, 1, v(2));
+      s.beat(2, 2, v(3));
+    }
+    say("told to rest, it waits");
+    s.out.now = 0;
+    FollowerDriver r;
+    r.out.quiet = true;
+    for (Nanos t = 500; t <= 4000; t += 500) {
+      r.to(t);
+      r.follower.rest(r.out.now, MemberId{1}, Incarnation{9}, FollowNo{1}, second);
+      r.beat(2, 2, v(3));
+    }
+  }
+}
+
+// ---- fleets
+
+Plan kind_of(std::uint64_t seed) {
+  Plan plan;
+  plan.seed = seed;
+  plan.controls = 3 + static_cast<unsigned>(seed % 8);
+  plan.servers = 20 + static_cast<unsigned>(seed * 7 % 41);
+  plan.zones = 2 + static_cast<unsigned>(seed % 4);
+  plan.length = 20 * second;
+  plan.quiet_after = 8 * second;
+  if (seed % 3 == 0) plan.restarts = 2, plan.blanks = 1;
+  if (seed % 4 == 0) plan.breaks = 40;
+  if (seed % 5 == 0) plan.lag = 0.6;
+  if (seed % 5 == 1) plan.bursts = 1;
+  if (seed % 6 == 0) plan.starts = 8, plan.zones_lost = 0.4;
+  if (seed % 7 == 0) plan.deleted = 0.5;
+  plan.most_whole = 1 + seed % 4;
+  return plan;
+}
+
+struct Sum {
+  std::uint64_t seeds = 0, wrong = 0, commits = 0, taken = 0, lives = 0;
+  Feed::Counts feed;
+  Follower::Counts follower;
+  std::size_t most_renewals = 0;
+  Nanos level_after = 0;
+  std::string first;
+  void add(const Plan& plan, const Verdict& one) {
+    ++seeds;
+    commits += one.commits, taken += one.taken, lives += one.lives;
+    feed.parts += one.feed.parts, feed.repeats += one.feed.repeats, feed.renewals += one.feed.renewals;
+    follower.gaps += one.follower.gaps, follower.older += one.follower.older;
+    follower.foreign += one.follower.foreign, follower.moves += one.follower.moves;
+    follower.refused += one.follower.refused, follower.senseless += one.follower.senseless;
+    most_renewals = std::max(most_renewals, one.most_renewals);
+    level_after = std::max(level_after, one.level_after);
+    if (one.first.empty()) return;
+    ++wrong;
+    if (first.empty()) first = "seed " + std::to_string(plan.seed) + ", " + one.first;
+  }
+};
+
+int many(std::uint64_t seeds, bool stop) {
+  Sum sum;
+  for (std::uint64_t seed = 1; seed <= seeds && !(stop && sum.wrong > 0); ++seed)
+    sum.add(kind_of(seed), FleetOfFollowers(kind_of(seed)).play());
+  if (const std::string lost = lost_history(); !lost.empty() && sum.wrong == 0) {
+    ++sum.wrong;
+    sum.first = "all lost: " + lost;
+  }
+  const auto n = [](std::uint64_t count) { return static_cast<unsigned long long>(count); };
+  std::printf("%llu seeds, wrong %llu: %llu commits, %llu lives of servers, %llu states taken\n",
+              n(sum.seeds), n(sum.wrong), n(sum.commits), n(sum.lives), n(sum.taken));
+  if (!sum.first.empty()) std::printf("  first: %s\n", sum.first.c_str());
+  std::printf("  parts %llu, repeated %llu, renewals %llu, at most %zu at once\n", n(sum.feed.parts),
+              n(sum.feed.repeats), n(sum.feed.renewals), sum.most_renewals);
+  std::printf(
+      "  not taken: gaps %llu, older %llu, foreign %llu, senseless %llu; entries refused %llu, moves %llu\n",
+      n(sum.follower.gaps), n(sum.follower.older), n(sum.follower.foreign), n(sum.follower.senseless),
+      n(sum.follower.refused), n(sum.follower.moves));
+  std::printf("  all level %lld ms after the last fault at the latest\n",
+              static_cast<long long>(sum.level_after / ms));
+  return sum.wrong > 0 ? 1 : 0;
+}
+
+// All control members lost what they had, and began anew from less: the versions that a server has from
+// before are of no order any more, and only digests tell.
+struct Lost final : FeedOrders, FollowerOrders {
+  Nanos now = 0;
+  Entries state{figures()};
+  std::unique_ptr<Feed> feed;
+  Follower follower{0,          Incarnation{9}, {"r", "a"}, {{MemberId{1}, "r", "a"}},
+                    {"a", "b"}, figures(),      1,          *this};
+  std::vector<std::function<void()>> letters;
+  void delta(MemberId, Incarnation of, FollowNo n, Version from, Version upto, bool whole, Nanos age,
+             const std::vector<const Entry*>& entries) override {
+    std::vector<Entry> all;
+    for (const Entry* entry : entries) all.push_back(*entry);
+    letters.push_back([=, this] { follower.delta(now, MemberId{1}, of, n, from, upto, whole, age, all); });
+  }
+  void renewal(MemberId, Incarnation of, FollowNo n, Version at, const std::vector<std::uint16_t>& scopes,
+               Version from, Version upto, const std::vector<const Entry*>& entries) override {
+    std::vector<Entry> all;
+    for (const Entry* entry : entries) all.push_back(*entry);
+    letters.push_back([=, this] { follower.renewal(now, MemberId{1}, of, n, at, scopes, from, upto, all); });
+  }
+  void beat(MemberId, Incarnation of, FollowNo n, Version committed, Nanos age) override {
+    letters.push_back([=, this] { follower.beat(now, MemberId{1}, of, n, committed, age); });
+  }
+  void rest(MemberId, Incarnation, FollowNo, Nanos) override {}
+  void elsewhere(MemberId, Incarnation of, FollowNo n) override {
+    letters.push_back([=, this] { follower.elsewhere(now, MemberId{1}, of, n); });
+  }
+  void again(MemberId, Incarnation of, FollowNo n) override {
+    letters.push_back([=, this] { follower.again(now, MemberId{1}, of, n); });
+  }
+  void follow(MemberId, FollowNo n, bool primary, const Position& at,
+              const std::vector<ScopeHeld>& scopes) override {
+    letters.push_back([=, this] { feed->follow(now, MemberId{20}, Incarnation{9}, n, primary, at, scopes); });
+  }
+  void have(MemberId, FollowNo n, const Position& at) override {
+    letters.push_back([=, this] { feed->have(now, MemberId{20}, Incarnation{9}, n, at); });
+  }
+  void compare(MemberId, FollowNo n, Version at, const std::vector<std::uint64_t>& digests) override {
+    letters.push_back([=, this] { feed->compare(now, MemberId{20}, Incarnation{9}, n, at, digests); });
+  }
+  void unfollow(MemberId, FollowNo) override {}
+  std::string check(const Entry&) override { return {}; }
+  void refused(const Entry&, std::string_view) override {}
+  void taken(Version, const std::vector<const Entry*>&) override {}
+  void left(MemberId, LeftWhy) override {}
+
+  void begin(std::initializer_list<Entry> entries) {
+    state.clear();
+    for (const Entry& entry : entries) state.take(entry);
+    feed = std::make_unique<Feed>(now, state, figures(), 1, *this);
+    feed->ready(now);
+  }
+  void run(Nanos length) {
+    for (const Nanos until = now + length; now < until; now += 10 * ms) {
+      feed->current(now);
+      follower.due(now);
+      feed->due(now);
+      for (const auto& one : std::exchange(letters, {})) one();
+    }
+  }
+};
+std::string lost_history() {
+  Lost s;
+  s.begin({put("a/x", 1, "1"), put("b/y", 2, "2"), put("a/z", 3, "lost")});
+  s.run(5 * second);
+  if (s.follower.version() != v(3)) return "the first state is not taken";
+  s.begin({put("a/x", 1, "1"), put("b/y", 2, "2")});
+  s.run(10 * second);
+  if (s.follower.version() != v(3)) return "an older state is taken";
+  const Entry newer = put("b/y", 1, "new", 9);
+  s.state.take(newer);
+  s.feed->committed(s.now, newer);
+  s.run(20 * second);
+  if (s.follower.version() != v(1, 9) || s.follower.find("a/z")) return "what was lost stays";
+  return {};
+}
+
+int calm() {
+  Plan plan;
+  plan.controls = 10, plan.servers = 60, plan.zones = 5, plan.delay = 150 * ms;
+  plan.commits = 4, plan.bursts = 0.2;
+  plan.breaks = plan.cuts = plan.restarts = plan.blanks = plan.stops = plan.mutes = plan.starts = 0;
+  plan.rescopes = plan.zones_lost = plan.lag = 0;
+  plan.quiet_after = 30 * second, plan.length = 40 * second, plan.small_parts = false;
+  Verdict v = FleetOfFollowers(plan).play();
+  std::sort(v.gaps.begin(), v.gaps.end());
+  if (!v.first.empty() || v.gaps.empty()) return std::printf("  wrong: %s\n", v.first.c_str()), 1;
+  std::printf("  %zu times a change came into force at a server: half within %lld ms, all within %lld ms\n",
+              v.gaps.size(), static_cast<long long>(v.gaps[v.gaps.size() / 2] / ms),
+              static_cast<long long>(v.gaps.back() / ms));
+  return v.gaps.back() > 4 * second ? 1 : 0;
+}
+
+int returning() {
+  Plan plan;
+  plan.controls = 4, plan.servers = 60, plan.zones = 2, plan.most_whole = 4;
+  plan.breaks = plan.cuts = plan.restarts = plan.blanks = plan.stops = plan.mutes = plan.starts = 0;
+  plan.rescopes = plan.lag = 0;
+  plan.zones_lost = 0.3;
+  const Verdict v = FleetOfFollowers(plan).play();
+  std::printf("  %llu renewals, at most %zu at once, all level %lld ms after the last fault%s%s\n",
+              static_cast<unsigned long long>(v.feed.renewals), v.most_renewals,
+              static_cast<long long>(v.level_after / ms),
+              v.first.empty() ? "" : ", wrong: ", v.first.c_str());
+  return v.first.empty() ? 0 : 1;
+}
+
+// ---- cost
+
+struct Silent final : FeedOrders {
+  std::vector<std::pair<MemberId, Version>> deltas;
+  void delta(MemberId to, Incarnation, FollowNo, Version, Version upto, bool, Nanos,
+             const std::vector<const Entry*>&) override {
+    deltas.emplace_back(to, upto);
+  }
+  void renewal(MemberId, Incarnation, FollowNo, Version, const std::vector<std::uint16_t>&, Version, Version,
+               const std::vector<const Entry*>&) override {}
+  void beat(MemberId, Incarnation, FollowNo, Version, Nanos) override {}
+  void rest(MemberId, Incarnation, FollowNo, Nanos) override {}
+  void elsewhere(MemberId, Incarnation, FollowNo) override {}
+  void again(MemberId, Incarnation, FollowNo) override {}
+};
+
+// What is looked at for a change of a scope with so many followers out of all, up to its answers.
+double cost(unsigned all, unsigned of_scope) {
+  Given given = figures();
+  given["control.most_followers"] = static_cast<double>(all);
+  given["control.total_rate"] = given["control.total_burst"] = 1e12;
+  Silent out;
+  Entries state(given);
+  Feed feed(0, state, given, 1, out);
+  std::uint64_t number = 0;
+  const auto commit = [&](Nanos now, const char* key) {
+    const Entry entry = put(key, ++number, "x");
+    state.take(entry);
+    feed.committed(now, entry);
+    feed.due(now);
+  };
+  feed.ready(0);
+  commit(0, "wide/x");
+  commit(0, "narrow/x");
+  for (unsigned i = 0; i < all; ++i)
+    feed.follow(0, MemberId{i + 1}, Incarnation{1}, FollowNo{1}, true, {v(2), v(2), {}, {}, 0},
+                {{i < of_scope ? "narrow" : "wide", state.digest(i < of_scope ? "narrow" : "wide"), true}});
+  feed.due(0);
+  const std::uint64_t before = feed.counts().looked_at;
+  for (int i = 0; i < 5; ++i) {
+    out.deltas.clear();
+    commit(i * 10 * ms, "narrow/x");
+    for (const auto& [to, upto] : std::exchange(out.deltas, {}))
+      feed.have(i * 10 * ms, to, Incarnation{1}, FollowNo{1}, {upto, upto, {}, {}, 0});
+    feed.due(i * 10 * ms);
+  }
+  return static_cast<double>(feed.counts().looked_at - before) / 5;
+}
+
+int costs() {
+  const auto exponent = [](const std::vector<std::pair<double, double>>& points) {
+    double x = 0, y = 0, xx = 0, xy = 0;
+    for (const auto& [a, b] : points)
+      x += std::log(a), y += std::log(b), xx += std::log(a) * std::log(a), xy += std::log(a) * std::log(b);
+    const double n = static_cast<double>(points.size());
+    return (n * xy - x * y) / (n * xx - x * x);
+  };
+  std::vector<std::pair<double, double>> in_all, in_scope;
+  for (const unsigned all : {100u, 300u, 1000u, 3000u, 10000u}) in_all.emplace_back(all, cost(all, 20));
+  for (const unsigned some : {10u, 30u, 100u, 300u, 1000u}) in_scope.emplace_back(some, cost(2000, some));
+  std::printf("  looked at for a change of a scope with 20 followers, of 100 to 10,000 in all:");
+  for (const auto& [all, looked] : in_all) std::printf(" %.0f", looked);
+  const double a = exponent(in_all), b = exponent(in_scope);
+  std::printf(", exponent %.2f\n  with 10 to 1,000 followers, of 2,000:", a);
+  for (const auto& [some, looked] : in_scope) std::printf(" %.0f", looked);
+  std::printf(", exponent %.2f\n", b);
+  return a > 0.1 || b > 1.1 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  if (argc > 1) return many(std::strtoull(argv[1], nullptr, 10), argc > 2 && !std::strcmp(argv[2], "stop"));
+  steps_of_a_feed();
+  steps_of_a_follower();
+  say("fleets with faults");
+  int wrong = many(300, false);
+  say("without faults, bursts of 100 changes among them");
+  wrong += calm();
+  say("half of the servers start anew at once, now and then");
+  wrong += returning();
+  say("what a change costs");
+  wrong += costs();
+  return wrong;
+}
