--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -168,6 +168,7 @@
       follower->dirty = follower->owes_whole = true;
     } else {
       follower->renewals_before = at.renewals;
+      follower->anew = false;
     }
     plan(from, *follower, now);
   } else if (follower->dirty && !follower->under_way && follower->waits == 0 && follower->ticket == 0) {
@@ -263,6 +264,7 @@
   follower.renewing_since = now;
   follower.renewal_at = state_.last();
   follower.renewals_before = follower.at.renewals;
+  follower.anew = true;
   follower.renewal.clear();
   follower.renewal_names.clear();
   for (std::size_t i = 0; i < follower.scopes.size(); ++i) {
@@ -354,7 +356,7 @@
   if (state_.floor() > follower.renewal_at || follower.at.taken > follower.renewal_at)
     begin_renewal(now, follower);
   const Version at = follower.renewal_at;
-  const Version from = follower.at.renewing == at ? follower.at.renewed : Version{};
+  const Version from = follower.at.renewing == at && !follower.anew ? follower.at.renewed : Version{};
   Version upto = at;
   std::size_t bytes = 0;
   std::vector<const Entry*> entries;
--- a/control/feed.hpp
+++ b/control/feed.hpp
@@ -135,6 +135,7 @@
     Nanos rested_until = 0, renewing_since = 0;
     Version renewal_at{};
     std::uint32_t renewals_before = 0;
+    bool anew = false; // no part of it was answered: one of before may be of other scopes
     std::vector<std::uint16_t> renewal; // scopes that it replaces
     std::vector<std::string> renewal_names;
     // Credit: its own comes then; of all, its ticket in line, and for how much. 0: it is not in line.
