--- a/control/replica.hpp
+++ b/control/replica.hpp
@@ -71,8 +71,8 @@
 // What a member says of its log when it promises.
 struct LogStanding {
   Version last{}, committed{};
-  // The newest committed roster and those behind it in the log, as entries' values, in order.
-  std::vector<std::string> rosters;
+  // The newest committed roster, if there is one, and those behind it in the log.
+  std::vector<std::pair<Version, Roster>> rosters;
 };
 
 struct Append {
@@ -234,6 +234,8 @@
     Version matched{}, sent{}, told{}; // told: what is committed
     std::uint64_t mark = 0, echoed = 0,
                   back_at = 0; // back_at: marks up to it were sent before `sent` went back
+    std::uint64_t window = 0;  // batches that may be under way
+    int gaps = 0;              // in a row
     Nanos next_beat = 0, again = -1;
   };
   struct Session { // of one life of a member that passes puts on
@@ -273,8 +275,10 @@
   bool in_log(Version version) const;
   void push(Record record);
   void commit(Nanos now, Version to);
+  void learn_roster();
   void trim();
-  std::vector<Roster> rosters() const; // in force, perhaps: from the committed one, or where all began anew
+  using Rosters = std::vector<std::pair<Version, Roster>>;
+  Rosters rosters() const; // the newest committed one and all behind it
   LogStanding log_standing() const;
   const Entry* newest(std::string_view key) const; // pending ones too
 
@@ -283,22 +287,22 @@
   void evaluate(Nanos now);
   void begin(Nanos now);
   void step_down();
-  bool supersede(Token seen);
-  bool write(Nanos now, Record record);
+  void supersede(Token seen);
+  Version write(Nanos now, Record record);
   std::string why_refused(const Entry& entry, const std::optional<Version>& expected);
   void write_roster(Nanos now, Roster roster);
-  void join(Nanos now, MemberId member, const Fellow& fellow);
+  void join(Nanos now);
   void settle(Nanos now);
   void send(Nanos now, MemberId to, Fellow& fellow, bool beat);
-  void send_all(Nanos now);
   void take_put(Nanos now, MemberId from, Incarnation of, const PassedPut& put);
 
   // The others
   void begin_fetch(Nanos now, MemberId from, Version base);
   void ask_chunks(Nanos now);
-  bool take_chunk(Nanos now, const Chunk& chunk);
+  bool take_chunk(const Chunk& chunk); // false: all from the beginning again
   void adopt(Nanos now, Version committed);
-  void pass_on(Nanos now, Put& put);
+  bool heed(Nanos now, MemberId from, Incarnation of, Token token); // false: a greater token is promised
+  void pass_on(Nanos now, PutNo number);
   void end_put(PutNo number, PutEnd end, Version version, std::string_view why);
   PutNo oldest_put() const;
 
@@ -306,10 +310,10 @@
   MemberId self_;
   Incarnation incarnation_;
   std::set<MemberId> members_, voters_;
-  Given figures_;
   Nanos beat_, again_, batch_, grace_, patience_, put_timeout_;
   std::size_t most_puts_, most_log_, most_pending_, most_batch_, most_batches_, most_entries_, most_bytes_;
 
+  const Entries empty_; // to begin a transferred state from
   Entries entries_;
   Version committed_{};
   Roster roster_;          // the newest that is committed
