--- a/control/replica.cpp
+++ b/control/replica.cpp
@@ -95,7 +95,7 @@
 Replica::Replica(Nanos now, MemberId self, Incarnation incarnation, std::set<MemberId> members,
                  std::set<MemberId> voters, const Given& figures, ReplicaOrders& orders)
     : orders_(orders), self_(self), incarnation_(incarnation), members_(std::move(members)),
-      voters_(std::move(voters)), empty_(figures), entries_(figures) {
+      voters_(std::move(voters)), entries_(figures) {
   beat_ = static_cast<Nanos>(needed(figures, "control.beat", 1));
   again_ = static_cast<Nanos>(needed(figures, "control.again", 1));
   batch_ = span(figures, "control.batch", 0);
@@ -431,7 +431,7 @@
     fellow.known = true;
     fellow.alive = false;
     fellow.known_from = fellow.mark + 1;
-    fellow.matched = {};
+    fellow.matched = fellow.base = {};
     fellow.sent = last();
     fellow.gaps = 0;
     fellow.lagging = false;
@@ -445,13 +445,16 @@
     if (mark <= fellow.back_at) return; // said before it was sent again
     fellow.back_at = fellow.echoed = fellow.mark;
     fellow.lagging = matched < log_from_;
-    // To there, or to what comes before: it will see that what it has is not in this log.
+    ++fellow.gaps;
     if (!fellow.lagging) {
+      // To there, or to what comes before: it will see that what it has is not in this log.
       const std::size_t next = behind(matched);
-      fellow.sent = next == 0 ? log_from_ : log_[next - 1].entry.version;
+      const Version there = next == 0 ? log_from_ : log_[next - 1].entry.version;
+      if (there > fellow.base) fellow.gaps = 1;
+      fellow.sent = fellow.base = there;
     }
-    if (++fellow.gaps == 1) return send(now, from, fellow, false);
-    fellow.again = now + again_;
+    if (fellow.gaps == 1) return send(now, from, fellow, false);
+    fellow.again = now + again_; // against two that say the same to each other as fast as they can
     return;
   }
   fellow.gaps = 0;
@@ -638,6 +641,7 @@
     if (append.log_from > committed_ && !fetch_.under_way) begin_fetch(now, from, committed_);
     return answer(committed_, true);
   }
+  fetch_ = {};
   Version matched = next > 0 ? records[next - 1].entry.version : append.previous;
   for (std::size_t at = behind(matched); next < records.size(); ++next, ++at) {
     if (at < log_.size() && log_[at].entry.version != records[next].entry.version)
@@ -783,10 +787,12 @@
   Fetch got = std::move(fetch_);
   fetch_ = {};
   if (committed < committed_ || (!writer && committed == committed_)) return;
+  // Against giving up what came by the log meanwhile, and was acked.
+  if (!writer && in_log(committed)) return commit(now, committed);
   std::map<std::string_view, const Record*> newest;
   for (const auto& [version, record] : got.records)
     if (version <= committed) newest[record.entry.key] = &record;
-  if (got.base == Version{}) entries_ = empty_;
+  if (got.base == Version{}) entries_.clear();
   // Least room first, so that what fits in the end fits on the way.
   std::vector<const Entry*> order;
   for (const auto& [key, record] : newest) order.push_back(&record->entry);
@@ -856,7 +862,7 @@
     if (all) send_at_ = -1;
     for (auto& [member, fellow] : fellows_) {
       if (fellow.again >= 0 && now >= fellow.again) { // no answer: one batch at a time, until there is one
-        fellow.sent = fellow.matched;
+        fellow.sent = std::max(fellow.matched, fellow.base);
         fellow.window = 1;
         fellow.echoed = fellow.back_at = fellow.mark;
         fellow.again = -1;
@@ -893,6 +899,7 @@
   now.committed = committed_;
   now.roster = roster_;
   now.puts = puts_.size();
+  now.puts_so_far = put_count_;
   now.pending = log_.size() - behind(committed_);
   for (const auto& [member, fellow] : fellows_) now.matched[member] = fellow.matched;
   return now;
--- a/control/replica.hpp
+++ b/control/replica.hpp
@@ -208,7 +208,8 @@
     Nanos heard_at = -1;
     Version last{}, committed{};
     Roster roster;
-    std::size_t puts = 0, pending = 0;
+    std::size_t puts = 0, pending = 0; // under way; in the log and not committed
+    std::uint64_t puts_so_far = 0;
     std::map<MemberId, Version> matched; // in office: how far each other is
   };
   Standing standing() const;
@@ -229,9 +230,9 @@
   };
   struct Fellow { // another member, to a writer in office
     Incarnation of{};
-    bool known = false;                // `of` has been heard
-    std::uint64_t known_from = 0;      // the first mark that was sent after that
-    Version matched{}, sent{}, told{}; // told: what is committed
+    bool known = false;                        // `of` has been heard
+    std::uint64_t known_from = 0;              // the first mark that was sent after that
+    Version matched{}, sent{}, base{}, told{}; // base: it went back to there; told: as committed
     std::uint64_t mark = 0, echoed = 0,
                   back_at = 0; // back_at: marks up to it were sent before `sent` went back
     std::uint64_t window = 0;  // batches that may be under way
@@ -313,7 +314,6 @@
   Nanos beat_, again_, batch_, grace_, patience_, put_timeout_;
   std::size_t most_puts_, most_log_, most_pending_, most_batch_, most_batches_, most_entries_, most_bytes_;
 
-  const Entries empty_; // to begin a transferred state from
   Entries entries_;
   Version committed_{};
   Roster roster_;          // the newest that is committed
--- /dev/null
+++ b/tests/control_replica.cpp
@@ -0,0 +1,348 @@
+// The one order of the control members: what they say to each other in small cases, step by step; then whole
+// fleets from seeds, with a referee (fleet_of_replicas.hpp). With arguments: so many seeds of all kinds only,
+// to the first that goes wrong ("stop"), and what went wrong. tests/mutants/control has faults that the
+// referee finds, a line each.
+#include "fleet_of_replicas.hpp"
+
+#include <cstdlib>
+
+namespace {
+
+// ---- small cases: three members that vote and one that doesn't; every word is printed, and carried by hand
+
+std::string name_of(Version v) {
+  return v == Version{} ? "nothing" : std::to_string(v.token.raw) + "." + std::to_string(v.number);
+}
+
+class Desk {
+  struct Seat final : ReplicaOrders {
+    Desk& desk;
+    MemberId self;
+    std::uint64_t life = 0;
+    std::unique_ptr<Replica> replica;
+    Seat(Desk& d, MemberId id) : desk(d), self(id) {}
+    Incarnation incarnation() const { return Incarnation{self.raw * 10 + life}; }
+
+    void say(MemberId to, std::string words, std::function<void(Replica&, Nanos)> what) {
+      desk.words_.push_back({self, to, std::move(words), std::move(what)});
+    }
+    void prepare(MemberId to, Token t, std::uint32_t round) override {
+      say(to, "prepare " + std::to_string(t.raw) + ", round " + std::to_string(round),
+          [=, from = self, of = incarnation()](Replica& r, Nanos n) { r.prepared(n, from, of, t, round); });
+    }
+    void promise(MemberId to, Incarnation of, Token t, std::uint32_t round, const LogStanding& s) override {
+      say(to,
+          "promise " + std::to_string(t.raw) + ", log to " + name_of(s.last) + ", committed " +
+              name_of(s.committed),
+          [=, from = self, me = incarnation()](Replica& r, Nanos n) {
+            r.promised(n, from, me, of, t, round, s);
+          });
+    }
+    void refuse(MemberId to, Incarnation of, Token t, Token seen) override {
+      say(to, "refuse " + std::to_string(t.raw) + ", promised " + std::to_string(seen.raw),
+          [=, from = self, me = incarnation()](Replica& r, Nanos n) { r.refused(n, from, me, of, t, seen); });
+    }
+    void append(MemberId to, const Append& a) override {
+      std::string words = "append behind " + name_of(a.previous) + ":";
+      for (const Record& one : a.records)
+        words += " " + name_of(one.entry.version) + " " + one.entry.key + "=" + one.entry.value + ";";
+      say(to, words + " committed " + name_of(a.committed),
+          [=, from = self, of = incarnation()](Replica& r, Nanos n) { r.appending(n, from, of, a); });
+    }
+    void appended(MemberId to, Incarnation of, Token t, std::uint64_t mark, Version v, bool gap) override {
+      say(to, (gap ? "gap, go back to " : "have up to ") + name_of(v),
+          [=, from = self, me = incarnation()](Replica& r, Nanos n) {
+            r.appended(n, from, me, of, t, mark, v, gap);
+          });
+    }
+    void fetch(MemberId to, Token t, Version base, Version cursor, Token since) override {
+      say(to, "fetch from " + name_of(cursor) + " on " + name_of(base),
+          [=, from = self, of = incarnation()](Replica& r, Nanos n) {
+            r.fetched(n, from, of, t, base, cursor, since);
+          });
+    }
+    void chunk(MemberId to, Incarnation of, const Chunk& c) override {
+      say(to,
+          "chunk " + name_of(c.from) + " to " + name_of(c.to) + ", " + std::to_string(c.records.size()) +
+              " records, committed " + name_of(c.committed) + (c.last ? ", last" : ""),
+          [=, from = self, me = incarnation()](Replica& r, Nanos n) { r.chunked(n, from, me, of, c); });
+    }
+    void pass(MemberId to, Incarnation of, Token t, const PassedPut& p) override {
+      say(to, "put " + p.key + "=" + p.value + " passed on",
+          [=, from = self, me = incarnation()](Replica& r, Nanos n) { r.passed(n, from, me, of, t, p); });
+    }
+    void answer(MemberId to, Incarnation of, Token t, PutNo p, PutEnd end, Version v,
+                std::string_view why) override {
+      say(to, "put " + std::string(word_of(end)) + " " + name_of(v),
+          [=, from = self, me = incarnation(), why = std::string(why)](Replica& r, Nanos n) {
+            r.answered(n, from, me, of, t, p, end, v, why);
+          });
+    }
+    std::string why_not(const Entry& entry) override { return entry.value == "bad" ? "it is bad" : ""; }
+    void committed(const Record& r) override {
+      std::printf("  %u has committed %s %s=%s\n", self.raw, name_of(r.entry.version).c_str(),
+                  r.entry.key.c_str(), r.entry.value.c_str());
+    }
+    void replaced() override {
+      std::printf("  %u has another state, of %s\n", self.raw, name_of(replica->committed()).c_str());
+    }
+    void ended(PutNo, PutEnd end, Version v, std::string_view why) override {
+      std::printf("  put at %u %s %s%s%s\n", self.raw, std::string(word_of(end)).c_str(), name_of(v).c_str(),
+                  why.empty() ? "" : ": ", std::string(why).c_str());
+    }
+    void began(Token t, bool after_loss) override {
+      std::printf("  %u in office under %llu%s\n", self.raw, static_cast<unsigned long long>(t.raw),
+                  after_loss ? ", begun anew" : "");
+    }
+    void stepped_down(Token t) override {
+      std::printf("  %u steps down, %llu\n", self.raw, static_cast<unsigned long long>(t.raw));
+    }
+    void superseded(Token t, Token seen) override {
+      std::printf("  %u superseded, %llu by %llu\n", self.raw, static_cast<unsigned long long>(t.raw),
+                  static_cast<unsigned long long>(seen.raw));
+    }
+  };
+  struct Word {
+    MemberId from, to;
+    std::string words;
+    std::function<void(Replica&, Nanos)> what;
+  };
+  std::vector<std::unique_ptr<Seat>> seats_;
+  std::deque<Word> words_;
+  std::set<std::uint32_t> cut_; // hear nothing and aren't heard
+  bool quiet_ = false;
+
+ public:
+  Nanos now = 0;
+  static Given figures() {
+    return {{"control.most_entries", 100.0}, {"control.most_bytes", 10000.0}, {"control.most_key", 100.0},
+            {"control.most_value", 100.0},   {"control.most_deleted", 4.0},   {"control.beat", 1e9},
+            {"control.again", 1e9},          {"control.batch", 0.0},          {"control.grace", 0.0},
+            {"control.patience", 3e9},       {"control.put_timeout", 5e9},    {"control.most_puts", 4.0},
+            {"control.most_log", 3.0},       {"control.most_pending", 8.0},   {"control.most_batch", 100.0},
+            {"control.most_batches", 4.0}};
+  }
+  Desk() {
+    for (std::uint32_t m = 1; m <= 4; ++m) {
+      seats_.push_back(std::make_unique<Seat>(*this, MemberId{m}));
+      start(m);
+    }
+  }
+  Replica& operator[](std::uint32_t m) { return *seats_[m - 1]->replica; }
+  void start(std::uint32_t m) {
+    Seat& seat = *seats_[m - 1];
+    ++seat.life;
+    seat.replica =
+        std::make_unique<Replica>(now, seat.self, seat.incarnation(),
+                                  std::set<MemberId>{MemberId{1}, MemberId{2}, MemberId{3}, MemberId{4}},
+                                  std::set<MemberId>{MemberId{1}, MemberId{2}, MemberId{3}}, figures(), seat);
+  }
+  void cut(std::set<std::uint32_t> members) { cut_ = std::move(members); }
+  void hush(bool quiet) { quiet_ = quiet; }
+  // Carries what is said, and what is said to that, and lets time pass where nothing is left, up to `rounds`.
+  void carry(int words = 1000) {
+    for (int count = 0; count < words; ++count) {
+      for (auto& seat : seats_)
+        if (const Nanos next = seat->replica->next_wake(); next >= 0 && next <= now) seat->replica->due(now);
+      if (words_.empty()) return;
+      const Word word = std::move(words_.front());
+      words_.pop_front();
+      const bool lost = cut_.contains(word.from.raw) || cut_.contains(word.to.raw);
+      if (!quiet_)
+        std::printf("  %u to %u: %s%s\n", word.from.raw, word.to.raw, word.words.c_str(),
+                    lost ? " (lost)" : "");
+      if (!lost) word.what(*seats_[word.to.raw - 1]->replica, now);
+    }
+  }
+  void pass(Nanos span) {
+    now += span;
+    for (auto& seat : seats_) seat->replica->due(now);
+  }
+  void show() {
+    std::printf("  now");
+    for (auto& seat : seats_)
+      std::printf("%s %u: %s, committed %s, log to %s", seat->self.raw > 1 ? ";" : "", seat->self.raw,
+                  seat->replica->ready() ? "ready" : "blank", name_of(seat->replica->committed()).c_str(),
+                  name_of(seat->replica->standing().last).c_str());
+    std::printf("\n");
+  }
+};
+
+void small_cases() {
+  const auto say = [](const char* what) { std::printf("# %s\n", what); };
+  const auto put = [](Desk& d, std::uint32_t m, const char* key, const char* value,
+                      std::optional<Version> expected = {}) { d[m].put(d.now, key, value, false, expected); };
+  Desk d;
+  say("first start: all voters are blank; all have answered twice before the first writer begins");
+  d[1].held(0, Token{10}, 60 * second);
+  d.carry();
+  d.show();
+  say("a write, put at 4: passed on, written, committed by two of three, told as done");
+  put(d, 4, "s/a", "1");
+  d.carry();
+  d.show();
+  say("refused: by the caller's check, by what was changed meanwhile, by its scope");
+  d.hush(true);
+  put(d, 1, "s/b", "bad");
+  put(d, 1, "s/a", "2", Version{});
+  put(d, 1, "control/roster", "x");
+  d.carry();
+  d.hush(false);
+  say("the writer dies between an ack and its commit: the next one finds the write and commits it");
+  d.cut({1, 3, 4});
+  put(d, 1, "s/a", "3");
+  d.cut({3, 4});
+  d.carry(2); // to 2, and back: it is never told
+  d.cut({});
+  d.start(1);
+  d[2].held(d.now, Token{20}, 120 * second);
+  d.carry();
+  d.show();
+  say("what the old writer says is refused, and what it asks for too");
+  d[1].held(d.now, Token{15}, 60 * second);
+  d.carry();
+  say("a blank member joins: all that it lacks, then a roster that names its life");
+  d.pass(second);
+  d.carry();
+  d.pass(second);
+  d.carry();
+  d.show();
+  say("a minority is cut off with the writer: its put is not committed, and another writes");
+  d.cut({2});
+  put(d, 2, "s/a", "lost");
+  d.carry();
+  d[3].held(d.now, Token{30}, 300 * second);
+  d.carry();
+  put(d, 3, "s/a", "kept");
+  d.carry();
+  say("back again: what it had not committed is given up, and its put ends as refused or is written again");
+  d[2].lost(d.now, Token{20});
+  d.cut({});
+  d.pass(second);
+  d.carry();
+  d.show();
+  say("loss of all voters: all answer, blank; the member that doesn't vote still holds the state");
+  d.start(1), d.start(2), d.start(3);
+  d[1].held(d.now, Token{40}, 600 * second);
+  d.carry();
+  d.pass(second);
+  d.hush(true);
+  d.carry();
+  d.pass(second);
+  d.carry();
+  d.show();
+}
+
+// ---- fleets
+
+struct Sum {
+  std::uint64_t seeds = 0, spared = 0;
+  Verdict all;
+};
+void add(Sum& sum, const Verdict& v, std::uint64_t kind, std::uint64_t seed) {
+  ++sum.seeds;
+  sum.spared += v.spared;
+  sum.all.commits += v.commits, sum.all.puts += v.puts, sum.all.done += v.done;
+  sum.all.refused += v.refused, sum.all.unknown += v.unknown, sum.all.terms += v.terms;
+  sum.all.losses += v.losses, sum.all.transfers += v.transfers, sum.all.starts += v.starts;
+  sum.all.wrong += v.wrong;
+  if (sum.all.first.empty() && !v.first.empty())
+    sum.all.first = "kind " + std::to_string(kind) + ", seed " + std::to_string(seed) + ", " + v.first;
+}
+void print(const char* what, const Sum& s) {
+  const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
+  std::printf("%s: %llu seeds, %llu starts, %llu terms, %llu commits, %llu transfers, wrong %d\n", what,
+              n(s.seeds), n(s.all.starts), n(s.all.terms), n(s.all.commits), n(s.all.transfers), s.all.wrong);
+  std::printf("  puts %llu: done %llu, refused %llu, unknown %llu\n", n(s.all.puts), n(s.all.done),
+              n(s.all.refused), n(s.all.unknown));
+  if (!s.all.first.empty()) std::printf("  first: %s\n", s.all.first.c_str());
+}
+
+constexpr std::uint64_t kinds = 10;
+Plan kind_of(std::uint64_t kind) {
+  Plan plan;
+  plan.voters = kind % 3 == 2 ? 5 : 3;
+  plan.members = plan.voters + 2 + static_cast<unsigned>(kind % 4);
+  plan.regions = kind % 2 == 0 ? 3 : 5;
+  plan.drift = kind % 2 == 0 ? 0.05 : 0.001;
+  plan.lost = kind % 5 == 4 ? 0.3 : 0.05;
+  plan.crashes = kind % 3 == 0 ? 2 : 0.5;
+  plan.writer_crashes = kind % 3 == 1 ? 0.7 : 0.1;
+  plan.cuts = kind % 4 == 3 ? 1 : 0.3;
+  plan.pauses = kind % 5 == 1 ? 1.5 : 0.3;
+  plan.late = kind % 3 == 0 ? 0.1 : 0.02;
+  return plan;
+}
+Sum many(const Plan& given, std::uint64_t kind, std::uint64_t from, std::uint64_t seeds, bool stop) {
+  Sum sum;
+  Plan plan = given;
+  for (plan.seed = from; plan.seed < from + seeds; ++plan.seed) {
+    add(sum, FleetOfReplicas(plan).play(), kind, plan.seed);
+    if (stop && sum.all.wrong > 0) break;
+  }
+  return sum;
+}
+Sum troubled(std::uint64_t seeds, bool stop) {
+  Sum all;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    Plan plan = kind_of(seed % kinds);
+    plan.seed = seed;
+    add(all, FleetOfReplicas(plan).play(), seed % kinds, seed);
+    if (stop && all.all.wrong > 0) break;
+  }
+  return all;
+}
+// Clocks far beyond the bound, so that two write at once: tokens and majorities hold without time.
+Plan clockless() {
+  Plan plan = kind_of(1);
+  plan.drift = 0.05;
+  plan.clocks_off = 10;
+  plan.pauses = 2;
+  return plan;
+}
+// Voters, or all, are lost at once, now and then.
+Plan losing() {
+  Plan plan = kind_of(2);
+  plan.spare_majority = false;
+  plan.losses = 0.2;
+  return plan;
+}
+
+} // namespace
+
+int main(int count, char** words) {
+  const auto said = [&](const char* word) {
+    return std::any_of(words + 1, words + count,
+                       [&](const char* one) { return std::string_view(one) == word; });
+  };
+  if (count > 1) {
+    const std::uint64_t seeds = std::strtoull(words[1], nullptr, 10);
+    const Sum sum = troubled(seeds, said("stop"));
+    print("troubled", sum);
+    int wrong = sum.all.wrong;
+    if (!said("stop") || wrong == 0) {
+      const Sum off = many(clockless(), 100, 1, seeds / 5, said("stop"));
+      print("clocks beyond the bound", off);
+      const Sum lost = many(losing(), 101, 1, seeds / 5, said("stop"));
+      print("voters lost at once", lost);
+      wrong += off.all.wrong + lost.all.wrong;
+    }
+    return wrong == 0 ? 0 : 1;
+  }
+  small_cases();
+  std::printf("# fleets\n");
+  const Sum all = troubled(80, false);
+  print("troubled", all);
+  const Sum off = many(clockless(), 100, 1, 10, false);
+  print("clocks ten times beyond the bound: two write at once", off);
+  const Sum lost = many(losing(), 101, 1, 10, false);
+  print("voters lost at once", lost);
+  Plan twice = kind_of(0);
+  twice.same_incarnation = true;
+  const Sum same = many(twice, 102, 1, 20, true);
+  std::printf("lives that can't be told apart: %s\n",
+              same.all.wrong > 0 ? "the referee sees it" : "NOT SEEN");
+  const int wrong = all.all.wrong + off.all.wrong + lost.all.wrong + (same.all.wrong == 0);
+  std::puts(wrong == 0 ? "one order, nothing lost, nothing twice" : "WRONG");
+  return wrong == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/fleet_of_replicas.hpp
@@ -0,0 +1,566 @@
+// Control members in one process, from one seed: each with its real leases and its part in the one order; a
+// network that loses, delays, doubles, reorders and cuts, by pairs, halves and regions; members that stop and
+// start having forgotten all, or stand still. Puts come at any of them. The referee hears of every record
+// that is written, every commit at any member, and every answer.
+#pragma once
+
+#include "replica.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <queue>
+
+using namespace cometshift;
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos second = 1000 * ms;
+constexpr const char* control_lease = "control";
+
+struct Plan {
+  std::uint64_t seed = 1;
+  unsigned members = 7, voters = 3, regions = 3;
+  Nanos term = second;
+  double drift = 0.01;
+  double clocks_off = 1;                           // part of it that clocks use; over 1 they break it
+  double lost = 0.05, doubled = 0.05, late = 0.02; // parts of the messages; late: by up to three terms
+  double crashes = 0.5, writer_crashes = 0.1, pauses = 0.3, cuts = 0.3; // a second, of the whole fleet
+  double losses = 0;             // a second: all voters, or most of them, at once
+  bool spare_majority = true;    // no crash that leaves less than a majority of the voters not blank
+  bool same_incarnation = false; // a member that starts anew is taken for the one before: not to be
+  double puts = 20;              // a second
+  Nanos quiet_after = 10 * second, length = 22 * second;
+};
+
+struct Verdict {
+  std::uint64_t commits = 0, puts = 0, done = 0, refused = 0, unknown = 0, terms = 0, losses = 0,
+                transfers = 0, starts = 0;
+  int wrong = 0;
+  bool spared = true; // a majority of the voters was never blank at once
+  std::string first;  // what went wrong first
+};
+
+class FleetOfReplicas {
+  struct Member final : LeaseOrders, ReplicaOrders {
+    FleetOfReplicas& fleet;
+    MemberId self;
+    std::uint64_t lives = 0;
+    std::unique_ptr<Voters> voters;
+    std::unique_ptr<Leases> leases;
+    std::unique_ptr<Replica> replica;
+    double rate = 1;
+    Nanos shows = 0, paused_until = 0, woken_for = -1;
+    bool up = false;
+    std::vector<std::function<void()>> waiting; // what came while it stood still
+    std::vector<Token> refused_tokens;          // for the leases, once the order is over
+    Version told{};                             // what it has as committed, as the referee has heard
+
+    Member(FleetOfReplicas& f, MemberId id) : fleet(f), self(id) {}
+    Incarnation incarnation() const {
+      return Incarnation{fleet.plan_.same_incarnation ? self.raw : self.raw * 1000 + lives};
+    }
+    Nanos clock() const { return shows + static_cast<Nanos>(static_cast<double>(fleet.now) * rate); }
+    Nanos true_time(Nanos at) const { return static_cast<Nanos>(static_cast<double>(at - shows) / rate) + 1; }
+    template <class What>
+    void to_leases(MemberId to, What what) {
+      fleet.send(self, to, [what](Member& m, Nanos at) { what(*m.leases, at); });
+    }
+    template <class What>
+    void to_replica(MemberId to, What what) {
+      fleet.send(self, to, [what](Member& m, Nanos at) { what(*m.replica, at); });
+    }
+
+    // ---- of the leases
+    void ask(MemberId voter, Epoch epoch, std::string_view l, AskNo n, Token t, Nanos term) override {
+      to_leases(voter, [from = self, of = incarnation(), epoch, l = std::string(l), n, t,
+                        term](Leases& at, Nanos now) { at.asked(now, from, of, epoch, l, n, t, term); });
+    }
+    void release(MemberId voter, std::string_view l, AskNo n) override {
+      to_leases(voter, [from = self, of = incarnation(), l = std::string(l), n](Leases& at, Nanos now) {
+        at.released(now, from, of, l, n);
+      });
+    }
+    void grant(MemberId to, Incarnation of, std::string_view l, AskNo n, bool wanted) override {
+      to_leases(to, [from = self, of, l = std::string(l), n, wanted](Leases& at, Nanos now) {
+        at.granted(now, from, of, l, n, wanted);
+      });
+    }
+    void refuse(MemberId to, Incarnation of, std::string_view l, AskNo n, Token seen, Nanos left) override {
+      to_leases(to, [from = self, of, l = std::string(l), n, seen, left](Leases& at, Nanos now) {
+        at.refused(now, from, of, l, n, seen, left);
+      });
+    }
+    void held(std::string_view, Token token, Nanos, Nanos until) override {
+      replica->held(clock(), token, until);
+    }
+    void lost(std::string_view, Token token, LostWhy) override { replica->lost(clock(), token); }
+
+    // ---- of the replica
+    void prepare(MemberId to, Token token, std::uint32_t round) override {
+      to_replica(to, [from = self, of = incarnation(), token, round](Replica& at, Nanos now) {
+        at.prepared(now, from, of, token, round);
+      });
+    }
+    void promise(MemberId to, Incarnation of, Token token, std::uint32_t round,
+                 const LogStanding& standing) override {
+      to_replica(to, [from = self, me = incarnation(), of, token, round, standing](Replica& at, Nanos now) {
+        at.promised(now, from, me, of, token, round, standing);
+      });
+    }
+    void refuse(MemberId to, Incarnation of, Token token, Token seen) override {
+      to_replica(to, [from = self, me = incarnation(), of, token, seen](Replica& at, Nanos now) {
+        at.refused(now, from, me, of, token, seen);
+      });
+    }
+    void append(MemberId to, const Append& append) override {
+      for (const Record& record : append.records) fleet.written(record);
+      to_replica(to, [from = self, of = incarnation(), append](Replica& at, Nanos now) {
+        at.appending(now, from, of, append);
+      });
+    }
+    void appended(MemberId to, Incarnation of, Token token, std::uint64_t mark, Version matched,
+                  bool gap) override {
+      to_replica(to,
+                 [from = self, me = incarnation(), of, token, mark, matched, gap](Replica& at, Nanos now) {
+                   at.appended(now, from, me, of, token, mark, matched, gap);
+                 });
+    }
+    void fetch(MemberId to, Token token, Version base, Version cursor, Token since) override {
+      to_replica(to, [from = self, of = incarnation(), token, base, cursor, since](Replica& at, Nanos now) {
+        at.fetched(now, from, of, token, base, cursor, since);
+      });
+    }
+    void chunk(MemberId to, Incarnation of, const Chunk& chunk) override {
+      to_replica(to, [from = self, me = incarnation(), of, chunk](Replica& at, Nanos now) {
+        at.chunked(now, from, me, of, chunk);
+      });
+    }
+    void pass(MemberId to, Incarnation of, Token token, const PassedPut& put) override {
+      to_replica(to, [from = self, me = incarnation(), of, token, put](Replica& at, Nanos now) {
+        at.passed(now, from, me, of, token, put);
+      });
+    }
+    void answer(MemberId to, Incarnation of, Token token, PutNo put, PutEnd end, Version version,
+                std::string_view why) override {
+      to_replica(to, [from = self, me = incarnation(), of, token, put, end, version,
+                      why = std::string(why)](Replica& at, Nanos now) {
+        at.answered(now, from, me, of, token, put, end, version, why);
+      });
+    }
+    std::string why_not(const Entry& entry) override { return entry.value == "bad" ? "it is bad" : ""; }
+    void committed(const Record& record) override { fleet.committed(*this, record); }
+    void replaced() override { fleet.replaced(*this); }
+    void ended(PutNo put, PutEnd end, Version version, std::string_view) override {
+      fleet.ended(*this, put, end, version);
+    }
+    void began(Token token, bool after_loss) override { fleet.began(*this, token, after_loss); }
+    void stepped_down(Token) override {}
+    void superseded(Token, Token seen) override { refused_tokens.push_back(seen); }
+  };
+
+  using PutId = std::tuple<MemberId, Incarnation, PutNo>;
+  struct PutKnown {
+    std::string key;
+    std::optional<Version> expected;
+    std::optional<PutEnd> end;
+    Version done{}, written{};
+  };
+  struct Link { // of the one order, as committed anywhere
+    Version before{};
+    std::uint64_t digest = 0;
+    std::size_t era = 0;
+  };
+
+  Plan plan_;
+  Pcg chance_;
+  Verdict verdict_;
+  std::vector<std::unique_ptr<Member>> members_;
+  std::set<MemberId> voter_ids_, all_ids_;
+  std::set<std::pair<MemberId, MemberId>> cut_;
+  std::map<Version, Record> written_;
+  std::map<Version, Link> order_of_;
+  Entries reference_;
+  Version head_{};
+  std::size_t era_ = 0;
+  std::map<PutId, PutKnown> puts_;
+  std::vector<PutId> last_puts_;
+  bool formed_ = false; // a majority of the voters has counted once
+  using Event = std::pair<std::pair<Nanos, std::uint64_t>, std::function<void()>>;
+  struct Later {
+    bool operator()(const Event& a, const Event& b) const { return a.first > b.first; }
+  };
+  std::priority_queue<Event, std::vector<Event>, Later> queue_;
+  std::uint64_t events_ = 0;
+
+ public:
+  Nanos now = 0;
+
+  explicit FleetOfReplicas(const Plan& plan) : plan_(plan), chance_(plan.seed), reference_(figures()) {
+    // Voters are in different regions: every so many-th member, as long as there are others.
+    for (unsigned m = 1; m <= plan.members; ++m) all_ids_.insert(MemberId{m});
+    for (unsigned v = 1; v <= plan.voters; ++v) voter_ids_.insert(MemberId{v});
+    for (unsigned m = 1; m <= plan.members; ++m) {
+      members_.push_back(std::make_unique<Member>(*this, MemberId{m}));
+      Member& one = *members_.back();
+      one.rate =
+          1 + plan.drift * plan.clocks_off * (chance_.unit() < 0.5 ? -1 : 1) * (0.5 + chance_.unit() / 2);
+      one.shows = static_cast<Nanos>(chance_.unit() * 1e15);
+      begin(one);
+    }
+    trouble(plan.crashes, [this] { crash(any()); });
+    trouble(plan.writer_crashes, [this] {
+      for (auto& one : members_)
+        if (one->up && one->replica->writes(one->clock())) return crash(*one);
+    });
+    trouble(plan.losses, [this] { lose_most(); });
+    trouble(plan.pauses, [this] { pause(any(), part(3 * plan_.term)); });
+    trouble(plan.cuts, [this] { cut_some(); });
+    put_on();
+    // Once all is quiet, a put at each member has to be done.
+    at(plan.quiet_after + (plan.length - plan.quiet_after) * 3 / 4, [this] {
+      for (auto& one : members_)
+        if (one->up && one->paused_until <= now)
+          last_puts_.push_back(put_at(*one, "last/" + name_of(*one), "v", {}));
+    });
+  }
+
+  Verdict play() {
+    while (!queue_.empty() && queue_.top().first.first <= plan_.length) {
+      const auto what = std::move(const_cast<Event&>(queue_.top()).second);
+      now = queue_.top().first.first;
+      queue_.pop();
+      what();
+      look();
+    }
+    close();
+    return verdict_;
+  }
+
+ private:
+  Given figures() const {
+    return {{"control.most_entries", 60.0},
+            {"control.most_bytes", 3000.0},
+            {"control.most_key", 100.0},
+            {"control.most_value", 120.0},
+            {"control.most_deleted", 6.0},
+            {"control.beat", 100.0 * ms},
+            {"control.again", 120.0 * ms},
+            {"control.batch", 2.0 * ms},
+            {"control.grace", 600.0 * ms},
+            {"control.patience", 500.0 * ms},
+            {"control.put_timeout", 3.0 * second},
+            {"control.most_puts", 16.0},
+            {"control.most_log", 24.0},
+            {"control.most_pending", 12.0},
+            {"control.most_batch", 100.0},
+            {"control.most_batches", 4.0}};
+  }
+  static std::string name_of(const Member& one) { return std::to_string(one.self.raw); }
+  static std::string name_of(Version v) {
+    char text[64];
+    std::snprintf(text, sizeof text, "%llx.%llu", static_cast<unsigned long long>(v.token.raw),
+                  static_cast<unsigned long long>(v.number));
+    return text;
+  }
+  Nanos part(Nanos of) { return static_cast<Nanos>(chance_.unit() * static_cast<double>(of)); }
+  Member& any() { return *members_[chance_.next() % members_.size()]; }
+  void at(Nanos when, std::function<void()> what) {
+    queue_.push({{std::max(when, now), events_++}, std::move(what)});
+  }
+  bool faults() const { return now < plan_.quiet_after; }
+  void wrong(const std::string& what) {
+    ++verdict_.wrong;
+    if (verdict_.first.empty()) verdict_.first = std::to_string(now / ms) + " ms: " + what;
+  }
+  void trouble(double rate, std::function<void()> what) {
+    if (rate <= 0) return;
+    at(now + static_cast<Nanos>(2 * chance_.unit() / rate * static_cast<double>(second)), [this, rate, what] {
+      if (!faults()) return;
+      what();
+      trouble(rate, what);
+    });
+  }
+  std::size_t majority() const { return plan_.voters / 2 + 1; }
+  std::size_t not_blank() const {
+    return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& one) {
+      return voter_ids_.contains(one->self) && one->up && one->replica->ready();
+    }));
+  }
+
+  // ---- lives
+
+  void begin(Member& one) {
+    ++one.lives;
+    ++verdict_.starts;
+    one.up = true;
+    one.waiting.clear();
+    one.refused_tokens.clear();
+    one.paused_until = 0;
+    one.told = {};
+    const double settle = static_cast<double>(plan_.term) * (1 + plan_.drift) / (1 - plan_.drift);
+    one.voters = std::make_unique<Voters>(one.clock(), one.self, VoterList{Epoch{1}, voter_ids_, {}},
+                                          static_cast<Nanos>(settle) + 1);
+    const Given leases{{"leases.term", static_cast<double>(plan_.term)},
+                       {"leases.longest_term", static_cast<double>(plan_.term)},
+                       {"leases.drift", plan_.drift},
+                       {"leases.first_token", static_cast<double>(now / ms)},
+                       {"leases.most", 16.0}};
+    one.leases = std::make_unique<Leases>(one.clock(), one.self, one.incarnation(), *one.voters, leases,
+                                          plan_.seed * 1000 + one.self.raw * 50 + one.lives, one);
+    one.replica = std::make_unique<Replica>(one.clock(), one.self, one.incarnation(), all_ids_, voter_ids_,
+                                            figures(), one);
+    one.woken_for = -1;
+    one.leases->want(one.clock(), control_lease);
+    wake(one);
+  }
+  void crash(Member& one, bool spared = true) {
+    if (!one.up) return;
+    if (spared && plan_.spare_majority && voter_ids_.contains(one.self) &&
+        not_blank() - (one.replica->ready() ? 1 : 0) < majority())
+      return;
+    one.up = false;
+    one.replica.reset();
+    one.leases.reset();
+    at(now + part(chance_.unit() < 0.5 ? plan_.term / 4 : 3 * plan_.term), [this, &one] {
+      if (!one.up) begin(one);
+    });
+  }
+  void lose_most() {
+    ++verdict_.losses;
+    const bool all = chance_.unit() < 0.3;
+    std::size_t left = all ? plan_.members : majority();
+    for (auto& one : members_)
+      if (left > 0 && (all || voter_ids_.contains(one->self))) crash(*one, false), --left;
+  }
+  void pause(Member& one, Nanos length) {
+    if (!one.up || one.paused_until > now) return;
+    one.paused_until = now + length;
+    at(one.paused_until, [&one, life = one.lives] {
+      if (!one.up || one.lives != life) return;
+      const auto came = std::move(one.waiting);
+      one.waiting.clear();
+      for (const auto& what : came) what();
+    });
+  }
+  // A part hears nothing, or isn't heard, or both: any half, or a region.
+  void cut_some() {
+    const double way = chance_.unit();
+    const bool region = chance_.unit() < 0.5;
+    const unsigned which = chance_.next() % plan_.regions;
+    std::set<MemberId> side;
+    for (auto& one : members_)
+      if (region ? one->self.raw % plan_.regions == which : chance_.unit() < 0.5) side.insert(one->self);
+    std::set<std::pair<MemberId, MemberId>> mine;
+    for (auto& a : members_)
+      for (auto& b : members_) {
+        const bool out = side.contains(a->self) && !side.contains(b->self);
+        const bool in = !side.contains(a->self) && side.contains(b->self);
+        if ((out && way < 0.7) || (in && way > 0.3)) mine.emplace(a->self, b->self);
+      }
+    cut_.insert(mine.begin(), mine.end());
+    at(now + part(4 * plan_.term), [this, mine] {
+      for (const auto& one : mine) cut_.erase(one);
+    });
+  }
+
+  // ---- words
+
+  void send(MemberId from, MemberId to, std::function<void(Member&, Nanos)> what) {
+    const bool troubled = faults();
+    const int copies = troubled && chance_.unit() < plan_.doubled ? 2 : 1;
+    for (int c = 0; c < copies; ++c) {
+      if (troubled && chance_.unit() < plan_.lost) continue;
+      const bool near = from.raw % plan_.regions == to.raw % plan_.regions;
+      Nanos takes = ms + part(near ? 2 * ms : 30 * ms);
+      if (troubled && chance_.unit() < plan_.late) takes = part(3 * plan_.term);
+      at(now + takes, [this, from, to, what] {
+        if (cut_.contains({from, to})) return;
+        Member& one = *members_[to.raw - 1];
+        in(one, [this, &one, what] {
+          what(one, one.clock());
+          wake(one);
+        });
+      });
+    }
+  }
+  void in(Member& one, std::function<void()> what) { // now, or when it goes on; in this life only
+    if (!one.up) return;
+    if (one.paused_until > now)
+      one.waiting.push_back(std::move(what));
+    else
+      what();
+  }
+  void wake(Member& one) {
+    while (!one.refused_tokens.empty()) {
+      const Token seen = one.refused_tokens.back();
+      one.refused_tokens.pop_back();
+      one.leases->refused_by_target(one.clock(), control_lease, seen);
+    }
+    Nanos next = one.leases->next_wake();
+    if (const Nanos other = one.replica->next_wake(); other >= 0 && (next < 0 || other < next)) next = other;
+    if (next < 0 || next == one.woken_for) return;
+    one.woken_for = next;
+    at(one.true_time(next), [this, &one, next, life = one.lives] {
+      if (one.lives != life || one.woken_for != next) return;
+      in(one, [this, &one] {
+        one.woken_for = -1;
+        one.leases->due(one.clock());
+        one.replica->due(one.clock());
+        wake(one);
+      });
+    });
+  }
+
+  // ---- puts
+
+  void put_on() {
+    at(now + part(static_cast<Nanos>(2.0 / plan_.puts * static_cast<double>(second))), [this] {
+      if (!faults()) return;
+      Member& one = any();
+      if (one.up && one.paused_until <= now) {
+        const unsigned which = chance_.next() % 40;
+        const std::string key = "s" + std::to_string(which % 4) + "/k" + std::to_string(which);
+        const double kind = chance_.unit();
+        std::optional<Version> expected;
+        if (chance_.unit() < 0.3) {
+          const Entry* held = one.replica->entries().find(key);
+          expected = held && !held->deleted ? held->version : Version{};
+        }
+        if (kind < 0.25)
+          put_at(one, key, {}, expected, true);
+        else
+          put_at(one, key, kind < 0.28 ? "bad" : std::string(chance_.next() % 100, 'v'), expected);
+        wake(one);
+      }
+      put_on();
+    });
+  }
+  PutId put_at(Member& one, const std::string& key, std::string value, std::optional<Version> expected,
+               bool deleted = false) {
+    // It may end within the call: the referee has to know it before.
+    const PutId id{one.self, one.incarnation(), PutNo{one.replica->standing().puts_so_far + 1}};
+    puts_[id] = {key, expected, std::nullopt, {}, {}};
+    if (one.replica->put(one.clock(), key, std::move(value), deleted, expected).raw == 0)
+      puts_.erase(id);
+    else
+      ++verdict_.puts;
+    wake(one);
+    return id;
+  }
+
+  // ---- the referee
+
+  void written(const Record& record) {
+    const auto [at, fresh] = written_.emplace(record.entry.version, record);
+    if (!fresh && at->second != record) wrong("two entries under " + name_of(record.entry.version));
+  }
+  static std::uint64_t digest_of(const Entries& entries) {
+    std::uint64_t sum = 0;
+    for (const std::string& scope : entries.scopes()) sum += entries.digest(scope);
+    return sum;
+  }
+  void committed(Member& one, const Record& record) {
+    ++verdict_.commits;
+    written(record);
+    const Version version = record.entry.version;
+    if (version <= one.told) wrong("member " + name_of(one) + " goes back to " + name_of(version));
+    auto known = order_of_.find(version);
+    if (known == order_of_.end() || known->second.era != era_) {
+      // Its first commit anywhere: behind all that was committed before, or behind where a loss has led.
+      if (one.told != head_) {
+        if (era_ == 0)
+          wrong("member " + name_of(one) + " commits " + name_of(version) + " behind " + name_of(one.told) +
+                ", the order is at " + name_of(head_));
+        return void(one.told = version);
+      }
+      take(record);
+      reference_.take(record.entry);
+      head_ = version;
+      known = order_of_.insert_or_assign(version, Link{one.told, digest_of(reference_), era_}).first;
+    }
+    if (known->second.before != one.told)
+      wrong("member " + name_of(one) + " commits " + name_of(version) + " behind " + name_of(one.told) +
+            ", others behind " + name_of(known->second.before));
+    else if (known->second.digest != digest_of(one.replica->entries()))
+      wrong("member " + name_of(one) + " has another state at " + name_of(version));
+    one.told = version;
+  }
+  void take(const Record& record) {
+    if (record.put.raw == 0) return;
+    const auto put = puts_.find({record.entry.writer, record.of, record.put});
+    if (put == puts_.end()) return wrong("a put that nobody made");
+    PutKnown& p = put->second;
+    if (p.written != Version{})
+      wrong("a put twice, " + name_of(p.written) + " and " + name_of(record.entry.version));
+    p.written = record.entry.version;
+    const Entry* held = reference_.find(record.entry.key);
+    if (p.expected && (held && !held->deleted ? held->version != *p.expected : *p.expected != Version{}))
+      wrong("a put over what was changed meanwhile, " + name_of(p.written));
+    if (p.end == PutEnd::refused) wrong("a put that was refused, " + name_of(record.entry.version));
+  }
+  void replaced(Member& one) {
+    ++verdict_.transfers;
+    const Version version = one.replica->committed();
+    if (version < one.told) wrong("member " + name_of(one) + " goes back to " + name_of(version));
+    const auto known = order_of_.find(version);
+    if (era_ == 0 && (known == order_of_.end() || known->second.digest != digest_of(one.replica->entries())))
+      wrong("member " + name_of(one) + " was transferred another state at " + name_of(version));
+    one.told = version;
+  }
+  void ended(Member& one, PutNo number, PutEnd end, Version version) {
+    const auto put = puts_.find({one.self, one.incarnation(), number});
+    if (put == puts_.end() || put->second.end) return wrong("an answer to no put");
+    PutKnown& p = put->second;
+    p.end = end;
+    p.done = version;
+    if (end == PutEnd::done) {
+      ++verdict_.done;
+      if (p.written != version)
+        wrong("a put answered as done at " + name_of(version) + " that is not committed there");
+    } else if (end == PutEnd::refused) {
+      ++verdict_.refused;
+      if (p.written != Version{}) wrong("a put that was committed, refused");
+    } else {
+      ++verdict_.unknown;
+    }
+  }
+  void began(Member& one, Token, bool after_loss) {
+    ++verdict_.terms;
+    if (!after_loss || head_ == Version{}) return;
+    if (verdict_.spared) return wrong("begun anew though a majority held");
+    // From here on: what this writer has.
+    ++era_;
+    reference_ = Entries(figures());
+    one.replica->entries().since({}, one.replica->committed(), {}, [&](const Entry& entry) {
+      reference_.take(entry);
+      return true;
+    });
+    head_ = one.told = one.replica->committed();
+    for (auto& [id, put] : puts_)
+      if (put.written > head_) put.written = {}; // lost
+  }
+  void look() {
+    const std::size_t holding = not_blank();
+    if (holding >= majority()) formed_ = true;
+    if (formed_ && holding < majority()) verdict_.spared = false;
+  }
+  void close() {
+    const Member* first = nullptr;
+    for (auto& one : members_) {
+      if (!one->up || !one->replica->ready()) {
+        wrong("member " + name_of(*one) + " is blank in the end");
+        continue;
+      }
+      if (!first) first = one.get();
+      if (one->replica->committed() != first->replica->committed() ||
+          digest_of(one->replica->entries()) != digest_of(first->replica->entries()))
+        wrong("members " + name_of(*one) + " and " + name_of(*first) + " are not level in the end");
+      if (one->replica->no_room() > 0) wrong("no room for what was committed");
+      if (one->replica->standing().puts > 0) wrong("puts that never end");
+    }
+    for (const PutId& id : last_puts_)
+      if (puts_.at(id).end != PutEnd::done) wrong("a put in quiet times is not done");
+    if (first && first->replica->committed() != head_) wrong("the order's end is not held");
+  }
+};
