--- a/control/replica.hpp
+++ b/control/replica.hpp
@@ -232,6 +232,8 @@
     Incarnation of{};
     bool known = false;                        // `of` has been heard
     std::uint64_t known_from = 0;              // the first mark that was sent after that
+    bool alive = false;                        // that life has answered one from there on
+    bool lagging = false;                      // it cannot be levelled by the log: it has to fetch
     Version matched{}, sent{}, base{}, told{}; // base: it went back to there; told: as committed
     std::uint64_t mark = 0, echoed = 0,
                   back_at = 0; // back_at: marks up to it were sent before `sent` went back
@@ -252,8 +254,8 @@
   };
   struct Put { // of this member
     PassedPut put;
-    Token token{}; // passed on under it; 0: not yet
-    MemberId to{};
+    Token token{};         // passed on under it; 0: it is known that no writer has written it
+    bool doubtful = false; // a transfer may have hidden its end
     Nanos again = 0, deadline = 0;
   };
   struct Fetch {
@@ -266,7 +268,7 @@
     std::map<Version, Chunk> early;                     // by where they begin
     std::map<Version, Record> records;                  // taken so far
     std::map<std::string, Version, std::less<>> newest; // of each key among these
-    std::size_t bytes = 0;
+    std::size_t bytes = 0, taken = 0;                   // taken: chunks since they were asked for
     Nanos again = 0, deadline = 0;
   };
 
@@ -317,6 +319,7 @@
   Entries entries_;
   Version committed_{};
   Roster roster_;          // the newest that is committed
+  bool level_ = false;     // a writer in office has told all that it had committed, in this life
   std::deque<Record> log_; // committed ones first, then pending ones
   Version log_from_{};     // what stands before the first
   std::size_t pending_bytes_ = 0;
