--- a/control/replica.cpp
+++ b/control/replica.cpp
@@ -335,8 +335,8 @@
   if (by_all_) {
     roster.since = token_;
     roster.lives = lives_before_;
-  } else {
-    roster = rosters().back().second;
+  } else if (const Rosters all = rosters(); !all.empty()) {
+    roster = all.back().second;
   }
   phase_ = Phase::office;
   writer_.heard_at = now;
@@ -433,10 +433,9 @@
     fellow.known_from = fellow.mark + 1;
     fellow.matched = fellow.base = {};
     fellow.sent = last();
+    fellow.back_at = 0;
     fellow.gaps = 0;
     fellow.lagging = false;
-    fellow.echoed = fellow.back_at = fellow.mark;
-    return send(now, from, fellow, true);
   }
   fellow.echoed = std::max(fellow.echoed, mark);
   if (mark >= fellow.known_from) fellow.alive = true;
@@ -747,8 +746,11 @@
   fetch_.deadline = now + patience_;
   Chunk next = chunk;
   for (;;) {
-    if (!take_chunk(next)) return begin_fetch(now, from, fetch_.base);
-    if (next.last) return adopt(now, next.committed);
+    // Against an older piece behind a newer one, which has left out what was overwritten between.
+    if (next.committed >= fetch_.committed) {
+      if (!take_chunk(next)) return begin_fetch(now, from, fetch_.base);
+      if (next.last) return adopt(now, next.committed);
+    }
     const auto at = fetch_.early.find(fetch_.cursor);
     if (at == fetch_.early.end()) break;
     next = std::move(at->second);
@@ -758,6 +760,7 @@
 }
 
 bool Replica::take_chunk(const Chunk& chunk) {
+  fetch_.committed = chunk.committed;
   // Against a deletion that came after what was told of its key, and is forgotten by now.
   if (!fetch_.first && chunk.floor > fetch_.floor && chunk.floor > fetch_.cursor) return false;
   fetch_.first = false;
--- a/control/replica.hpp
+++ b/control/replica.hpp
@@ -263,7 +263,7 @@
     MemberId from{};
     Incarnation of{};
     bool known = false; // `of` is
-    Version base{}, cursor{}, floor{};
+    Version base{}, cursor{}, floor{}, committed{};
     bool first = true;
     std::map<Version, Chunk> early;                     // by where they begin
     std::map<Version, Record> records;                  // taken so far
