--- a/control/replica.cpp
+++ b/control/replica.cpp
@@ -15,7 +15,10 @@
 constexpr std::size_t most_results = 4096;      // of a session: over what a member has under way
 constexpr std::size_t most_staged = 2;          // times the bound of bytes: of a state that is being fetched
 
-std::size_t size_of(const Record& record) { return record.entry.key.size() + record.entry.value.size(); }
+constexpr std::size_t record_overhead =
+    64; // bytes that a record costs on its way beside key and value, at the most
+std::size_t size_of(const Entry& entry) { return entry.key.size() + entry.value.size() + record_overhead; }
+std::size_t size_of(const Record& record) { return size_of(record.entry); }
 
 std::size_t majority_of(std::size_t voters) { return voters / 2 + 1; }
 
@@ -709,7 +712,7 @@
     };
     bool whole = true;
     entries_.since(cursor, committed_, {}, [&](const Entry& entry) {
-      whole = fits(entry.key.size() + entry.value.size());
+      whole = fits(size_of(entry));
       if (whole) chunk.records.push_back({entry, {}, {}}), chunk.to = entry.version;
       return whole;
     });
--- a/peers/control_follower.cpp
+++ b/peers/control_follower.cpp
@@ -1,6 +1,7 @@
 #include "control_follower.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cometshift {
 
--- a/peers/control_member.cpp
+++ b/peers/control_member.cpp
@@ -1,6 +1,7 @@
 #include "control_member.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cometshift {
 
--- a/peers/control_words.cpp
+++ b/peers/control_words.cpp
@@ -95,7 +95,11 @@
     one.set_round(round);
     put(*one.mutable_last(), standing.last);
     put(*one.mutable_committed(), standing.committed);
-    for (const std::string& roster : standing.rosters) one.add_roster(roster);
+    for (const auto& [version, roster] : standing.rosters) {
+      wire::Roster& told = *one.add_roster();
+      put(*told.mutable_version(), version);
+      told.set_text(text_of(roster));
+    }
   });
 }
 std::string refuse(Incarnation to, Token token, Token seen) {
@@ -297,7 +301,11 @@
   case wire::Control::kPromise: {
     const wire::Promise& one = in.promise();
     LogStanding standing{version_of(one.last()), version_of(one.committed()), {}};
-    standing.rosters.assign(one.roster().begin(), one.roster().end());
+    for (const wire::Roster& told : one.roster()) {
+      std::optional<Roster> roster = roster_in(told.text());
+      if (!roster) return false;
+      standing.rosters.emplace_back(version_of(told.version()), std::move(*roster));
+    }
     listener.promised(to, Token{one.token()}, one.round(), standing);
     return true;
   }
--- a/scale/control_fleet.cpp
+++ b/scale/control_fleet.cpp
@@ -78,14 +78,14 @@
 
 class ControlFleet::Server final : public Node, ControlFollowerOrders {
  public:
-  Server(ControlFleet& fleet, Nanos now, MemberId self, std::uint64_t life, unsigned number, unsigned zone)
-      : number(number), fleet_(fleet), self_{"scale",
+  Server(ControlFleet& fleet, Nanos now, MemberId self, std::uint64_t life, unsigned which, unsigned zone)
+      : number(which), fleet_(fleet), self_{"scale",
                                              self,
                                              {},
                                              Incarnation{life << 20 | self.raw},
                                              "10.1.0.0:" + std::to_string(self.raw)},
         follower_(now, self_, {std::to_string(region_of(zone)), std::to_string(zone)}, fleet.listed_,
-                  fleet.scopes_of(number), figures_of(fleet, now),
+                  fleet.scopes_of(which), figures_of(fleet, now),
                   fleet.plan_.seed * 104729 + life * 131 + self.raw, *this) {}
 
   const Follower& follower() const { return follower_.follower(); }
--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -78,8 +78,8 @@
 // ---- what others say
 
 bool Hollow::letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard,
-                    Incarnation heard_of, bool leaving) {
-  return peers_.heard(now_, from, of, number, heard, heard_of, leaving);
+                    Incarnation heard_of, bool leaving, const words::Rhythm& rhythm) {
+  return peers_.heard(now_, from, of, number, heard, heard_of, leaving, rhythm);
 }
 void Hollow::voters(MemberId from, Epoch on_file, const VoterList& list) {
   voters_.heard(now_, from, on_file);
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -49,7 +49,7 @@
   void doubled(MemberId) override {}
   // Words of others
   bool letter(MemberId from, Incarnation of, std::uint64_t number, std::uint64_t heard, Incarnation heard_of,
-              bool leaving) override;
+              bool leaving, const words::Rhythm& rhythm) override;
   void voters(MemberId from, Epoch on_file, const VoterList& list) override;
   void asked(MemberId from, Incarnation of, Epoch epoch, std::string_view lease, AskNo number, Token token,
              Nanos term) override;
