--- a/scale/control.cpp
+++ b/scale/control.cpp
@@ -197,6 +197,7 @@
       .got("arrivals", static_cast<double>(came.arrivals))
       .got("in_time_part",
            came.arrivals > 0 ? 1 - static_cast<double>(came.late) / static_cast<double>(came.arrivals) : 1)
+      .got("commit_most_s", static_cast<double>(came.slowest_commit) / second)
       .got("in_force_p50_s", quantile(0.5))
       .got("in_force_p99_s", quantile(0.99))
       .got("in_force_most_s", static_cast<double>(came.slowest) / second)
--- a/scale/control_fleet.cpp
+++ b/scale/control_fleet.cpp
@@ -246,13 +246,15 @@
 void ControlFleet::committed(const Record& record) {
   const Entry& entry = record.entry;
   const std::uint64_t hash = hash_of(entry);
-  const auto [at, fresh] = writes_.emplace(entry.version, Write{entry.key, network_->now(), hash});
+  const auto [at, fresh] =
+      writes_.emplace(entry.version, Write{entry.key, network_->now(), network_->now(), hash});
   if (!fresh) {
     if (at->second.key != entry.key || at->second.hash != hash) wrong("two writes under one version");
     return;
   }
   if (const auto put = put_at_.find(entry.value.substr(0, entry.value.find(' '))); put != put_at_.end()) {
     at->second.put_at = put->second;
+    phase_.slowest_commit = std::max(phase_.slowest_commit, network_->now() - put->second);
     put_at_.erase(put);
   }
   by_key_[entry.key][entry.version] = hash;
--- a/scale/control_fleet.hpp
+++ b/scale/control_fleet.hpp
@@ -52,6 +52,7 @@
   struct Phase {
     std::uint64_t changes = 0, unknown = 0, refused = 0; // puts that ended so
     std::uint64_t arrivals = 0, late = 0;  // changes at servers that could be reached all along; over 4 s
+    Nanos slowest_commit = 0;              // from a put to its commit
     Nanos slowest = 0, slowest_return = 0; // the latter: of servers that were cut off or started anew
     std::vector<float> times;              // s, of arrivals, a part drawn by chance
     std::uint64_t wrong = 0;
@@ -59,7 +60,7 @@
   };
   void begin_phase();
   const Phase& phase() const { return phase_; }
-  unsigned behind() const; // servers that are up and not at the newest version
+  unsigned behind() const;          // servers that are up and not at the newest version
   std::string first_behind() const; // of these, the first as it stands: for people
   // Compares all that are up, scope by scope, with the writer's state; what differs is counted as wrong.
   void compare_all();
@@ -71,7 +72,7 @@
   class Server;
   struct Write {
     std::string key;
-    Nanos put_at;
+    Nanos put_at, committed_at;
     std::uint64_t hash;
   };
 
