Leases wait for a round's answers as long as told: voters farther than an eighth of a term were never heard

Seen in the hollow fleet: with two of five voters down, one of them the holder, nobody held for 7 s, until the two were back. Looked at: the askers' rounds went on rising, two in half a second each, and no round ended. Ruled out: silence after a start, the roster. To blame: Leases::ask waits term / 8 for answers (250 ms at a term of 2 s), under the 300 ms there and back to the farthest region, and all three voters left are needed. A figure leases.answer, an eighth of the term unless told.

--- a/leases/leases.cpp
+++ b/leases/leases.cpp
@@ -13,11 +13,11 @@
 constexpr double most_drift = 0.1;        // a clock that is worse can't be believed at all
 constexpr double renew_part = 0.4;        // of the time held: two renewals may get lost before it ends
 constexpr double renew_jitter = 0.1;      // of that: leases taken together don't stay in step
-constexpr Nanos answer_part = 8;          // of the term, in which a round's answers are waited for
-constexpr Nanos rest_part = 16;           // of the term, the mean rest after the first round that was lost
-constexpr int rest_doublings = 2;         // of that rest: a quarter of a term in the mean
-constexpr Nanos seen_terms = 8;           // that a voter keeps a name with no grant, for the token seen on it
-constexpr unsigned member_bits = 16;      // of a token: its lowest, so that two members' are never the same
+constexpr Nanos answer_part = 8;     // of the term, in which a round's answers are waited for, if not told
+constexpr Nanos rest_part = 16;      // of the term, the mean rest after the first round that was lost
+constexpr int rest_doublings = 2;    // of that rest: a quarter of a term in the mean
+constexpr Nanos seen_terms = 8;      // that a voter keeps a name with no grant, for the token seen on it
+constexpr unsigned member_bits = 16; // of a token: its lowest, so that two members' are never the same
 
 bool sensible_name(std::string_view lease) { return !lease.empty() && lease.size() <= longest_name; }
 
@@ -42,6 +42,8 @@
     : orders_(orders), self_(self), incarnation_(incarnation), voters_(voters), chance_(seed) {
   term_ = static_cast<Nanos>(needed(figures, "leases.term", static_cast<double>(ms)));
   longest_term_ = static_cast<Nanos>(needed(figures, "leases.longest_term", static_cast<double>(term_)));
+  answer_ = span(figures, "leases.answer", static_cast<double>(term_ / answer_part));
+  if (answer_ < 1 || answer_ > term_) throw std::invalid_argument("setting leases.answer is senseless");
   longest_act_ = span(figures, "leases.longest_act", 0);
   drift_ = needed(figures, "leases.drift", 0);
   if (drift_ > most_drift) throw std::invalid_argument("setting leases.drift is senseless");
@@ -100,7 +102,7 @@
   }
   if (!grant) return orders_.refuse(from, of, lease, number, Token{0}, term_); // no room
   // Against a majority of voters that others need no more (voters.hpp): it is to learn of their list first.
-  if (epoch < voters_.epoch()) return orders_.refuse(from, of, lease, number, Token{0}, term_ / answer_part);
+  if (epoch < voters_.epoch()) return orders_.refuse(from, of, lease, number, Token{0}, answer_);
   const bool same = grant->holder == from && grant->of == of;
   // Against an old ask, or one that comes twice, which would begin again what was released or is over.
   if (same && number <= grant->last) return;
@@ -160,7 +162,7 @@
   wish.refused_by.clear();
   wish.wanted = false;
   wish.block = 0;
-  wish.next = now + term_ / answer_part;
+  wish.next = now + answer_;
   for (const MemberId voter : voters_.all())
     orders_.ask(voter, voters_.epoch(), lease, wish.number, wish.token, look ? 0 : term_);
 }
--- a/leases/leases.hpp
+++ b/leases/leases.hpp
@@ -65,6 +65,8 @@
   // - leases.term: for how long a voter grants
   // - leases.longest_term: the longest that any member has had set for a term's time before; a voter that
   //   starts is silent that long
+  // - leases.answer: a round's answers are waited for so long; over a round trip to the farthest voter, else
+  //   no round ever ends where all of the voters that are up are needed. Else an eighth of the term
   // - leases.drift: bound on how far a clock's rate is from true, as a part
   // - leases.longest_act: of a target that can't refuse old tokens, its next holder waits that long; 0: none
   // - leases.most_terms: after so many a holder gives others a turn, if they ask; 0: never
@@ -176,7 +178,7 @@
   Incarnation incarnation_;
   const Voters& voters_;
   Pcg chance_;
-  Nanos term_, longest_term_, longest_act_;
+  Nanos term_, longest_term_, answer_, longest_act_;
   double drift_;
   int most_terms_;
   std::size_t most_;
--- a/peers/control_member.cpp
+++ b/peers/control_member.cpp
@@ -65,6 +65,7 @@
       {"control.most_pending", 1'024.0},
       {"leases.term", 2'000 * ms},
       {"leases.longest_term", 2'000 * ms},
+      {"leases.answer", 450 * ms}, // over a round trip between the farthest regions
       {"leases.drift", 0.01},
       {"leases.most_terms", 0.0},
       {"leases.most", 16.0},
--- a/peers/control_member.hpp
+++ b/peers/control_member.hpp
@@ -76,6 +76,7 @@
   Nanos next_wake() const; // of the early clock; -1: none
   void leave(const Moment& at);
 
+  const Leases& leases() const { return leases_; }
   const Replica& replica() const { return replica_; }
   const Feed& feed() const { return feed_; }
   const Directory& directory() const { return directory_; }
