--- a/scale/core_counts.cpp
+++ b/scale/core_counts.cpp
@@ -99,6 +99,12 @@
       std::vector<Measured> row;
       for (std::size_t i = all.size() - top_sizes; i < all.size(); ++i)
         row.push_back({all[i], got[i].*bound.figure});
+      // Against a verdict on nothing.
+      if (std::all_of(row.begin(), row.end(), [](const Measured& one) { return one.value == 0; })) {
+        std::fprintf(out, "%s, %.0f to %.0f: %s: not counted by this build\n", by, all.front(), all.back(),
+                     bound.what);
+        continue;
+      }
       const Slope slope = slope_of(row, 1);
       const bool holds = slope.exponent <= bound.most;
       wrong |= !holds;
