--- a/scale/added.cpp
+++ b/scale/added.cpp
@@ -17,6 +17,7 @@
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <sstream>
 #include <stdexcept>
@@ -74,6 +75,7 @@
 
 struct Life { // of the server's process, as the system tells it
   double cpu_s = 0;
+  double waited_s = 0; // ready to run and without a core: the machine's doing
   double rss_bytes = 0;
 };
 Life life_of(pid_t pid) {
@@ -87,6 +89,10 @@
   double user = 0, system = 0;
   rest >> user >> system;
   life.cpu_s = (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  if (std::ifstream scheduled(folder + "/schedstat"); scheduled) { // its one thread's; not on every kernel
+    double ran_ns = 0, waited_ns = 0;
+    if (scheduled >> ran_ns >> waited_ns) life.waited_s = waited_ns / 1e9;
+  }
   std::istringstream pages(load::read_file(folder + "/statm"));
   double resident = 0;
   pages >> skipped >> resident;
@@ -367,6 +373,8 @@
       .got("server.cpu_s", after.cpu_s - before.cpu_s)
       .got("server.cpu_us_an_op",
            (after.cpu_s - before.cpu_s) * 1e6 / static_cast<double>(std::max<std::size_t>(1, out.asked)))
+      .got("server.waited_us_an_op", (after.waited_s - before.waited_s) * 1e6 /
+                                         static_cast<double>(std::max<std::size_t>(1, out.asked)))
       .got("server.rss_start_bytes", before.rss_bytes)
       .got("server.rss_end_bytes", after.rss_bytes)
       .got("server.ready_ms", static_cast<double>(ready) / 1e6);
