--- a/scale/added.cpp
+++ b/scale/added.cpp
@@ -67,6 +67,7 @@
   std::vector<std::uint64_t> seeds{1};
   double seconds = 20;
   unsigned members = 5;
+  unsigned segment_kib = 16'384; // of a recording; the program's own default
   bool shared = false, check = false;
   std::string echo; // this process is the echo's, and listens there
 };
@@ -269,8 +270,8 @@
   load::write_file(config, configuration(tenants, seed, 0));
   std::string kdl;
   if (name == "recording")
-    kdl = "recording {\n    on #true\n    folder \"" + folder +
-          "/recordings\"\n    segment-size \"256KiB\"\n}\n"; // so that some segments end within the time
+    kdl = "recording {\n    on #true\n    folder \"" + folder + "/recordings\"\n    segment-size \"" +
+          std::to_string(wanted.segment_kib) + "KiB\"\n}\n";
   if (link) kdl = fleet_part(1, wanted.members);
   load::write_file(operators, kdl);
   Changes changes(config, name == "burst" || bursts ? tenants : 1, seed);
@@ -420,6 +421,7 @@
       .set("echo_rate_s", rate)
       .set("bar_us", bar_us)
       .set("shared", wanted.shared ? 1 : 0);
+  if (name == "recording") row.set("segment_bytes", wanted.segment_kib * 1024.0);
   if (name == "link") row.set("members", wanted.members).set("restart_every_s", 1);
   return row;
 }
@@ -481,6 +483,8 @@
   added->add_option("--seconds", wanted->seconds, "how long ops come")->check(CLI::Range(1.0, 600.0));
   added->add_option("--seed", wanted->seeds, "of all chance");
   added->add_option("--members", wanted->members, "of the fleet, in the case link")->check(CLI::Range(3, 8));
+  added->add_option("--segment-kib", wanted->segment_kib, "of a recording, in the case recording")
+      ->check(CLI::Range(64, 1'048'576));
   added->add_flag("--shared", wanted->shared,
                   "the machine's cores are not this run's alone: told in the rows");
   added->add_flag("--check", wanted->check, "counts in place of rows; exit code 1 where an op was not acked");
