--- a/tests/control_replica.cpp
+++ b/tests/control_replica.cpp
@@ -254,6 +254,7 @@
   const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
   std::printf("%s: %llu seeds, %llu starts, %llu terms, %llu commits, %llu transfers, wrong %d\n", what,
               n(s.seeds), n(s.all.starts), n(s.all.terms), n(s.all.commits), n(s.all.transfers), s.all.wrong);
+  std::printf("  a majority of the voters never blank at once: %llu seeds\n", n(s.spared));
   std::printf("  puts %llu: done %llu, refused %llu, unknown %llu\n", n(s.all.puts), n(s.all.done),
               n(s.all.refused), n(s.all.unknown));
   if (!s.all.first.empty()) std::printf("  first: %s\n", s.all.first.c_str());
@@ -301,6 +302,13 @@
   plan.pauses = 2;
   return plan;
 }
+// No lease at all: any member is told that it holds, and writes on beside others.
+Plan by_chance() {
+  Plan plan = kind_of(0);
+  plan.by_chance = 400 * ms;
+  plan.late = 0.05;
+  return plan;
+}
 // Voters, or all, are lost at once, now and then.
 Plan losing() {
   Plan plan = kind_of(2);
@@ -326,7 +334,9 @@
       print("clocks beyond the bound", off);
       const Sum lost = many(losing(), 101, 1, seeds / 5, said("stop"));
       print("voters lost at once", lost);
-      wrong += off.all.wrong + lost.all.wrong;
+      const Sum free = many(by_chance(), 102, 1, seeds, said("stop"));
+      print("holders by chance", free);
+      wrong += off.all.wrong + lost.all.wrong + free.all.wrong;
     }
     return wrong == 0 ? 0 : 1;
   }
@@ -338,12 +348,14 @@
   print("clocks ten times beyond the bound: two write at once", off);
   const Sum lost = many(losing(), 101, 1, 10, false);
   print("voters lost at once", lost);
+  const Sum free = many(by_chance(), 102, 1, 20, false);
+  print("holders by chance, many at once", free);
   Plan twice = kind_of(0);
   twice.same_incarnation = true;
-  const Sum same = many(twice, 102, 1, 20, true);
+  const Sum same = many(twice, 103, 1, 20, true);
   std::printf("lives that can't be told apart: %s\n",
               same.all.wrong > 0 ? "the referee sees it" : "NOT SEEN");
-  const int wrong = all.all.wrong + off.all.wrong + lost.all.wrong + (same.all.wrong == 0);
+  const int wrong = all.all.wrong + off.all.wrong + lost.all.wrong + free.all.wrong + (same.all.wrong == 0);
   std::puts(wrong == 0 ? "one order, nothing lost, nothing twice" : "WRONG");
   return wrong == 0 ? 0 : 1;
 }
--- a/tests/fleet_of_replicas.hpp
+++ b/tests/fleet_of_replicas.hpp
@@ -29,7 +29,10 @@
   double losses = 0;             // a second: all voters, or most of them, at once
   bool spare_majority = true;    // no crash that leaves less than a majority of the voters not blank
   bool same_incarnation = false; // a member that starts anew is taken for the one before: not to be
-  double puts = 20;              // a second
+  // Once so long on average any member is told that it holds, until long after, and nobody that it does not
+  // any more: many write at once. 0: the leases tell.
+  Nanos by_chance = 0;
+  double puts = 20; // a second
   Nanos quiet_after = 10 * second, length = 22 * second;
 };
 
@@ -182,7 +185,8 @@
   std::map<Version, Link> order_of_;
   Entries reference_;
   Version head_{};
-  std::size_t era_ = 0;
+  std::size_t era_ = 0; // losses that were begun anew after
+  Token era_from_{}, newest_{};
   std::map<PutId, PutKnown> puts_;
   std::vector<PutId> last_puts_;
   bool formed_ = false; // a majority of the voters has counted once
@@ -192,6 +196,7 @@
   };
   std::priority_queue<Event, std::vector<Event>, Later> queue_;
   std::uint64_t events_ = 0;
+  std::uint64_t granted_ = 100;
 
  public:
   Nanos now = 0;
@@ -216,6 +221,7 @@
     trouble(plan.losses, [this] { lose_most(); });
     trouble(plan.pauses, [this] { pause(any(), part(3 * plan_.term)); });
     trouble(plan.cuts, [this] { cut_some(); });
+    if (plan.by_chance > 0) hold_by_chance();
     put_on();
     // Once all is quiet, a put at each member has to be done.
     at(plan.quiet_after + (plan.length - plan.quiet_after) * 3 / 4, [this] {
@@ -311,9 +317,23 @@
     one.replica = std::make_unique<Replica>(one.clock(), one.self, one.incarnation(), all_ids_, voter_ids_,
                                             figures(), one);
     one.woken_for = -1;
-    one.leases->want(one.clock(), control_lease);
+    if (plan_.by_chance == 0) one.leases->want(one.clock(), control_lease);
     wake(one);
   }
+  void hold(Member& one, std::uint64_t back) {
+    granted_ += 3;
+    one.replica->held(one.clock(), Token{(granted_ - back) << 16 | one.self.raw}, one.clock() + 20 * second);
+    wake(one);
+  }
+  void hold_by_chance() {
+    at(now + part(2 * plan_.by_chance), [this] {
+      // In the end one that stays, once all are back; before, at times a token that others have gone beyond.
+      if (!faults()) return at(plan_.quiet_after + 4 * plan_.term, [this] { hold(*members_.front(), 0); });
+      Member& one = any();
+      in(one, [this, &one] { hold(one, chance_.unit() < 0.1 ? 3 * (chance_.next() % 3) : 0); });
+      hold_by_chance();
+    });
+  }
   void crash(Member& one, bool spared = true) {
     if (!one.up) return;
     if (spared && plan_.spare_majority && voter_ids_.contains(one.self) &&
@@ -469,7 +489,7 @@
     if (known == order_of_.end() || known->second.era != era_) {
       // Its first commit anywhere: behind all that was committed before, or behind where a loss has led.
       if (one.told != head_) {
-        if (era_ == 0)
+        if (era_ == 0 || version.token >= era_from_)
           wrong("member " + name_of(one) + " commits " + name_of(version) + " behind " + name_of(one.told) +
                 ", the order is at " + name_of(head_));
         return void(one.told = version);
@@ -504,10 +524,11 @@
     const Version version = one.replica->committed();
     if (version < one.told) wrong("member " + name_of(one) + " goes back to " + name_of(version));
     const auto known = order_of_.find(version);
-    if (version != Version{} && era_ == 0 &&
-        (known == order_of_.end() || known->second.digest != digest_of(one.replica->entries())))
-      wrong("member " + name_of(one) + " was transferred another state at " + name_of(version) +
-            (known == order_of_.end() ? ", unknown" : ""));
+    const bool news = known == order_of_.end();
+    // After a loss, of what was before only that it was told once is known.
+    const bool judged = era_ == 0 || version.token >= era_from_;
+    if (version != Version{} && judged && (news || known->second.digest != digest_of(one.replica->entries())))
+      wrong("member " + name_of(one) + " was transferred another state at " + name_of(version));
     one.told = version;
   }
   void ended(Member& one, PutNo number, PutEnd end, Version version) {
@@ -527,12 +548,16 @@
       ++verdict_.unknown;
     }
   }
-  void began(Member& one, Token, bool after_loss) {
+  void began(Member& one, Token token, bool after_loss) {
     ++verdict_.terms;
+    // One that begins late, under a token that another has gone beyond, comes to nothing.
+    if (token < newest_) return;
+    newest_ = token;
     if (!after_loss || head_ == Version{}) return;
     if (verdict_.spared) return wrong("begun anew though a majority held");
     // From here on: what this writer has.
     ++era_;
+    era_from_ = token;
     reference_ = Entries(figures());
     one.replica->entries().since({}, one.replica->committed(), {}, [&](const Entry& entry) {
       reference_.take(entry);
