Terms in a row that commit nothing no longer stop the log for good

A member took no more than twice the bound of pending records; terms that come to nothing each leave a roster, so after 24 of them in a row no write could ever be committed. Equal rosters in a row are told once in a promise.

--- a/control/replica.cpp
+++ b/control/replica.cpp
@@ -8,9 +8,12 @@
 
 namespace {
 
-constexpr std::size_t most_members = 64;        // control members: each writer speaks to all
-constexpr std::size_t most_voters = 7;          // as of leases: three may be lost of seven
-constexpr std::size_t most_sessions = 256;      // lives of members that pass puts on, in one term
+constexpr std::size_t most_members = 64;   // control members: each writer speaks to all
+constexpr std::size_t most_voters = 7;     // as of leases: three may be lost of seven
+constexpr std::size_t most_sessions = 256; // lives of members that pass puts on, in one term
+// Terms in a row of which none commits anything: each leaves a roster, and to bound these by less would leave
+// no way on. Terms of a second: 18 hours.
+constexpr std::size_t most_terms = 65'536;
 constexpr Nanos session_kept = 600'000'000'000; // ns: no word is under way for so long
 constexpr std::size_t most_results = 4096;      // of a session: over what a member has under way
 constexpr std::size_t most_staged = 2;          // times the bound of bytes: of a state that is being fetched
@@ -154,7 +157,14 @@
   return all;
 }
 
-LogStanding Replica::log_standing() const { return {last(), committed_, rosters()}; }
+// Of equal rosters in a row the first says it all: terms that came to nothing each leave one.
+LogStanding Replica::log_standing() const {
+  LogStanding standing{last(), committed_, {}};
+  for (auto& one : rosters())
+    if (standing.rosters.empty() || standing.rosters.back().second != one.second)
+      standing.rosters.push_back(std::move(one));
+  return standing;
+}
 
 void Replica::learn_roster() {
   const Entry* held = entries_.find(roster_key);
@@ -649,7 +659,7 @@
         log_.pop_back();
       }
     if (at == log_.size()) {
-      if (log_.size() - behind(committed_) > 2 * most_pending_) break; // over any writer's bound
+      if (log_.size() - behind(committed_) > most_pending_ + most_terms) break;
       push(records[next]);
     }
     matched = records[next].entry.version;
--- a/tests/control_replica.cpp
+++ b/tests/control_replica.cpp
@@ -368,6 +368,8 @@
   print("holders by chance, many at once", free);
   const Sum forgot = many(forgetful(), 104, 1, 40, false);
   print("the same, of members that forget again and again", forgot);
+  const Sum barren = many(forgetful(), 104, 2521, 1, false); // each leaves a roster that is not committed
+  print("many terms in a row that commit nothing", barren);
   Plan twice = kind_of(0);
   twice.same_incarnation = true;
   const Sum same = many(twice, 103, 1, 20, true);
