--- a/tests/control_replica.cpp
+++ b/tests/control_replica.cpp
@@ -1,7 +1,7 @@
 // The one order of the control members: what they say to each other in small cases, step by step; then whole
 // fleets from seeds, with a referee (fleet_of_replicas.hpp). With arguments: so many seeds of all kinds only,
-// to the first that goes wrong ("stop"), and what went wrong. tests/mutants/control has faults that the
-// referee finds, a line each.
+// to the first that goes wrong ("stop"), and what went wrong; "forgetful": of the first kind only.
+// tests/mutants/control has faults that the referee finds, a line each.
 #include "fleet_of_replicas.hpp"
 
 #include <cstdlib>
@@ -254,6 +254,7 @@
   const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
   std::printf("%s: %llu seeds, %llu starts, %llu terms, %llu commits, %llu transfers, wrong %d\n", what,
               n(s.seeds), n(s.all.starts), n(s.all.terms), n(s.all.commits), n(s.all.transfers), s.all.wrong);
+  std::printf("  a majority of the voters never blank at once: %llu seeds\n", n(s.spared));
   std::printf("  puts %llu: done %llu, refused %llu, unknown %llu\n", n(s.all.puts), n(s.all.done),
               n(s.all.refused), n(s.all.unknown));
   if (!s.all.first.empty()) std::printf("  first: %s\n", s.all.first.c_str());
@@ -301,6 +302,26 @@
   plan.pauses = 2;
   return plan;
 }
+// No lease at all: any member is told that it holds, and writes on beside others.
+Plan by_chance() {
+  Plan plan = kind_of(0);
+  plan.by_chance = 400 * ms;
+  plan.late = 0.05;
+  return plan;
+}
+// The same, with members that forget again and again, and words of their lives before.
+Plan forgetful() {
+  Plan plan = by_chance();
+  plan.by_chance = 150 * ms;
+  plan.voters = 3;
+  plan.members = 4;
+  plan.quick = true;
+  plan.crashes = 6;
+  plan.late = 0.15;
+  plan.pauses = 0;
+  plan.cuts = 1;
+  return plan;
+}
 // Voters, or all, are lost at once, now and then.
 Plan losing() {
   Plan plan = kind_of(2);
@@ -317,17 +338,22 @@
                        [&](const char* one) { return std::string_view(one) == word; });
   };
   if (count > 1) {
+    // The sharpest first, so that a fault is found soon.
     const std::uint64_t seeds = std::strtoull(words[1], nullptr, 10);
-    const Sum sum = troubled(seeds, said("stop"));
-    print("troubled", sum);
-    int wrong = sum.all.wrong;
-    if (!said("stop") || wrong == 0) {
-      const Sum off = many(clockless(), 100, 1, seeds / 5, said("stop"));
-      print("clocks beyond the bound", off);
-      const Sum lost = many(losing(), 101, 1, seeds / 5, said("stop"));
-      print("voters lost at once", lost);
-      wrong += off.all.wrong + lost.all.wrong;
-    }
+    const bool stop = said("stop");
+    int wrong = 0;
+    const auto play = [&](const char* what, const std::function<Sum()>& sum) {
+      if (stop && wrong > 0) return;
+      const Sum s = sum();
+      print(what, s);
+      wrong += s.all.wrong;
+    };
+    play("members that forget, holders by chance", [&] { return many(forgetful(), 104, 1, seeds, stop); });
+    if (said("forgetful")) return wrong == 0 ? 0 : 1;
+    play("troubled", [&] { return troubled(seeds, stop); });
+    play("holders by chance", [&] { return many(by_chance(), 102, 1, seeds / 2, stop); });
+    play("clocks beyond the bound", [&] { return many(clockless(), 100, 1, seeds / 5, stop); });
+    play("voters lost at once", [&] { return many(losing(), 101, 1, seeds, stop); });
     return wrong == 0 ? 0 : 1;
   }
   small_cases();
@@ -338,12 +364,19 @@
   print("clocks ten times beyond the bound: two write at once", off);
   const Sum lost = many(losing(), 101, 1, 10, false);
   print("voters lost at once", lost);
+  const Sum free = many(by_chance(), 102, 1, 20, false);
+  print("holders by chance, many at once", free);
+  const Sum forgot = many(forgetful(), 104, 1, 40, false);
+  print("the same, of members that forget again and again", forgot);
+  const Sum barren = many(forgetful(), 104, 2521, 1, false); // each leaves a roster that is not committed
+  print("many terms in a row that commit nothing", barren);
   Plan twice = kind_of(0);
   twice.same_incarnation = true;
-  const Sum same = many(twice, 102, 1, 20, true);
+  const Sum same = many(twice, 103, 1, 20, true);
   std::printf("lives that can't be told apart: %s\n",
               same.all.wrong > 0 ? "the referee sees it" : "NOT SEEN");
-  const int wrong = all.all.wrong + off.all.wrong + lost.all.wrong + (same.all.wrong == 0);
+  const int wrong = all.all.wrong + off.all.wrong + lost.all.wrong + free.all.wrong + forgot.all.wrong +
+                    (same.all.wrong == 0);
   std::puts(wrong == 0 ? "one order, nothing lost, nothing twice" : "WRONG");
   return wrong == 0 ? 0 : 1;
 }
