--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -392,7 +392,7 @@
   follower.expects = {};
   follower.expects.renewing = at;
   follower.expects.renewed = upto;
-  orders_.renewal(id, follower.of, follower.number, at, follower.renewal, from, upto, entries);
+  orders_.renewal(id, follower.of, follower.number, at, follower.renewal, from, upto, state_.last(), entries);
 }
 
 void Feed::send_delta(Nanos now, MemberId id, Follower& follower) {
@@ -420,7 +420,7 @@
   follower.expects = {};
   follower.expects.staged = upto;
   if (whole) follower.expects.taken = upto;
-  orders_.delta(id, follower.of, follower.number, from, upto, whole, age(now), entries);
+  orders_.delta(id, follower.of, follower.number, from, upto, state_.last(), age(now), entries);
 }
 
 // It can't go on by a delta: deletions are forgotten, or there is a scope of which it holds nothing.
@@ -466,7 +466,8 @@
     const bool has_all = follower.primary && !behind_it && !follower.renews && !follower.dirty &&
                          !follower.under_way && follower.at.staged == follower.at.taken;
     if (has_all)
-      orders_.delta(id, follower.of, follower.number, follower.at.taken, state_.last(), true, age(now), {});
+      orders_.delta(id, follower.of, follower.number, follower.at.taken, state_.last(), state_.last(),
+                    age(now), {});
     else
       orders_.beat(id, follower.of, follower.number, state_.last(), age(now));
   }
--- a/control/feed.hpp
+++ b/control/feed.hpp
@@ -6,8 +6,8 @@
 // so changes that come together go out together, and of a key only the newest. One part is under way to a
 // follower at a time; the next goes when that is answered, the same again when it is not.
 // - A delta says: who has all up to `from` has with this all of its scopes up to `upto`. A long one goes in
-//   parts, which are staged and taken with the last (`whole`): between, newer entries may have replaced some
-//   that were not sent yet, so only the end is a state that was.
+//   parts, which are staged and taken with the last: between, newer entries may have replaced some that were
+//   not sent yet, so only the end is a state that was.
 // - A renewal replaces scopes: where deletions after the follower's version are forgotten, where it holds
 //   nothing of a scope, or where digests differ. Scopes whose digests agree are left out. It gives the scopes
 //   as they were at version `at`; a delta from there goes behind it. At most `control.most_whole` at once;
@@ -32,16 +32,17 @@
 namespace cometshift {
 
 // `of`, `number`: of the follower's life and attachment that is meant; it passes over words of others.
+// `last`: of the state that it was read from. A delta up to there is the end: what is staged may be taken.
 // Entries are held until the call returns.
 class FeedOrders {
  public:
   virtual ~FeedOrders() = default;
-  virtual void delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto, bool whole,
+  virtual void delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto, Version last,
                      Nanos age, const std::vector<const Entry*>& entries) = 0;
   // `scopes`: places in the list that the follower gave. Begins with a `from` of none, ends with `upto` at
   // `at`. No deletions are in it.
   virtual void renewal(MemberId to, Incarnation of, FollowNo number, Version at,
-                       const std::vector<std::uint16_t>& scopes, Version from, Version upto,
+                       const std::vector<std::uint16_t>& scopes, Version from, Version upto, Version last,
                        const std::vector<const Entry*>& entries) = 0;
   // All that is committed here is `committed`, which was known to be the newest `age` ago.
   virtual void beat(MemberId to, Incarnation of, FollowNo number, Version committed, Nanos age) = 0;
--- a/control/follower.cpp
+++ b/control/follower.cpp
@@ -109,6 +109,7 @@
   member.number = FollowNo{++numbers_};
   member.next_have = now + beat_;
   if (as_primary) {
+    drop_stage();
     progress_at_ = now;
     next_compare_ =
         now + static_cast<Nanos>(static_cast<double>(beat_) * (1 + first_compare * chance_.unit()));
@@ -259,7 +260,7 @@
 }
 
 void Follower::delta(Nanos now, MemberId from, Incarnation to, FollowNo number, Version since, Version upto,
-                     bool whole, Nanos age, const std::vector<Entry>& entries) {
+                     Version last, Nanos age, const std::vector<Entry>& entries) {
   Member* const member = heard(now, from, to, number);
   if (!member) return;
   if (!member->primary) return void(++counts_.foreign);
@@ -267,7 +268,8 @@
     ++counts_.gaps; // what came between is not here
     return answer(now, *member);
   }
-  if (upto < at_.staged) {
+  // Or of a state before one that a part here was read from: then some that it held are not staged.
+  if (upto < at_.staged || last < stage_.read_at) {
     ++counts_.older;
     return answer(now, *member);
   }
@@ -277,14 +279,15 @@
   const bool covers = std::all_of(scopes_.begin(), scopes_.end(), [this](const std::string& scope) {
     return held_.contains(scope) || stage_.replaced.contains(scope);
   });
-  if (!covers || !stage(entries, since, upto, false)) {
+  if (!covers || upto > last || !stage(entries, since, upto, false)) {
     ++counts_.senseless;
     leave(now, *member, LeftWhy::senseless);
     return choose(now);
   }
   at_.staged = upto;
+  stage_.read_at = last;
   ++counts_.parts;
-  if (whole) {
+  if (upto == last) {
     if (at_.staged > at_.taken || !stage_.replaced.empty()) take_stage();
     told(now, *member, upto, age);
   }
@@ -293,7 +296,7 @@
 }
 
 void Follower::renewal(Nanos now, MemberId from, Incarnation to, FollowNo number, Version at,
-                       const std::vector<std::uint16_t>& scopes, Version since, Version upto,
+                       const std::vector<std::uint16_t>& scopes, Version since, Version upto, Version last,
                        const std::vector<Entry>& entries) {
   Member* const member = heard(now, from, to, number);
   if (!member) return;
@@ -308,7 +311,8 @@
   const bool covers = std::all_of(scopes_.begin(), scopes_.end(), [&](const std::string& scope) {
     return held_.contains(scope) || replaced.contains(scope);
   });
-  if (replaced.size() != scopes.size() || !covers || upto > at || since > upto || at == Version{}) {
+  if (replaced.size() != scopes.size() || !covers || upto > at || at > last || since > upto ||
+      at == Version{}) {
     ++counts_.senseless;
     leave(now, *member, LeftWhy::senseless);
     return choose(now);
@@ -318,7 +322,7 @@
     drop_stage();
     at_.renewing = at;
     stage_.replaced = replaced;
-  } else if (!same || since > at_.renewed) {
+  } else if (!same || since > at_.renewed || last < stage_.read_at) {
     ++counts_.gaps;
     return answer(now, *member);
   }
@@ -327,6 +331,7 @@
     leave(now, *member, LeftWhy::senseless);
     return choose(now);
   }
+  stage_.read_at = last;
   ++counts_.parts;
   if (upto > at_.renewed || upto == at) progress_at_ = std::max(progress_at_, now);
   at_.renewed = std::max(at_.renewed, upto);
@@ -419,11 +424,8 @@
 
 std::vector<ScopeHeld> Follower::held() const {
   std::vector<ScopeHeld> all;
-  // A renewal that came to its end is staged, and goes on by deltas from whomever.
-  const bool staged = at_.renewing == Version{};
   for (const std::string& scope : scopes_)
-    all.push_back(
-        {scope, state_->digest(scope), held_.contains(scope) || (staged && stage_.replaced.contains(scope))});
+    all.push_back({scope, state_->digest(scope), held_.contains(scope)});
   return all;
 }
 
--- a/control/follower.hpp
+++ b/control/follower.hpp
@@ -4,7 +4,8 @@
 //
 // Never an older state after a newer one, whoever gives it: a delta is taken only if it goes on from what is
 // here, a renewal only if it is not of before it, and both only as a whole. Who is behind gives nothing that
-// is taken. Words of another life or attachment are passed over, so late and doubled ones do no harm.
+// is taken. Words of another life or attachment are passed over, so late and doubled ones do no harm. What is
+// staged ends with its attachment, as another control member may be behind the state that it was read from.
 //
 // Two lines: the primary gives, the secondary tells its version only. Nearest first: same zone, same region,
 // the others; among equals by chance from the seed, so that all followers spread evenly. A control member
@@ -92,9 +93,9 @@
 
   // ---- what control members say, as FeedOrders; `to`: this life
   void delta(Nanos now, MemberId from, Incarnation to, FollowNo number, Version since, Version upto,
-             bool whole, Nanos age, const std::vector<Entry>& entries);
+             Version last, Nanos age, const std::vector<Entry>& entries);
   void renewal(Nanos now, MemberId from, Incarnation to, FollowNo number, Version at,
-               const std::vector<std::uint16_t>& scopes, Version since, Version upto,
+               const std::vector<std::uint16_t>& scopes, Version since, Version upto, Version last,
                const std::vector<Entry>& entries);
   void beat(Nanos now, MemberId from, Incarnation to, FollowNo number, Version committed, Nanos age);
   void rest(Nanos now, MemberId from, Incarnation to, FollowNo number, Nanos rest);
@@ -146,6 +147,7 @@
   struct Stage {
     std::map<std::string, Entry, std::less<>> entries;
     std::set<std::string, std::less<>> replaced; // scopes
+    Version read_at{}; // the newest state that parts were read from: entries that it had no more are not here
     std::size_t bytes = 0;
   };
 
--- a/tests/control_feed.cpp
+++ b/tests/control_feed.cpp
@@ -49,12 +49,13 @@
     for (const Entry* entry : entries) text += told(*entry);
     return text;
   }
-  void delta(MemberId to, Incarnation, FollowNo n, Version from, Version upto, bool whole, Nanos,
+  void delta(MemberId to, Incarnation, FollowNo n, Version from, Version upto, Version last, Nanos,
              const std::vector<const Entry*>& entries) override {
-    line(to, n, "delta " + told(from) + " to " + told(upto) + (whole ? ", whole:" : ":") + list(entries));
+    line(to, n,
+         "delta " + told(from) + " to " + told(upto) + (upto == last ? ", whole:" : ":") + list(entries));
   }
   void renewal(MemberId to, Incarnation, FollowNo n, Version at, const std::vector<std::uint16_t>& scopes,
-               Version from, Version upto, const std::vector<const Entry*>& entries) override {
+               Version from, Version upto, Version, const std::vector<const Entry*>& entries) override {
     line(to, n,
          "renewal at " + told(at) + " of " + std::to_string(scopes.size()) + " scopes, " + told(from) +
              " to " + told(upto) + ":" + list(entries));
@@ -223,11 +224,13 @@
   }
   void delta(unsigned from, std::uint64_t n, Version since, Version upto, bool whole,
              std::vector<Entry> entries) {
-    follower.delta(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, since, upto, whole, 0, entries);
+    follower.delta(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, since, upto,
+                   whole ? upto : v(upto.number + 2), 0, entries);
   }
   void renewal(unsigned from, std::uint64_t n, Version at, std::vector<std::uint16_t> scopes, Version since,
                Version upto, std::vector<Entry> entries) {
-    follower.renewal(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, at, scopes, since, upto, entries);
+    follower.renewal(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, at, scopes, since, upto, at,
+                     entries);
   }
   void beat(unsigned from, std::uint64_t n, Version committed) {
     follower.beat(out.now, MemberId{from}, Incarnation{9}, FollowNo{n}, committed, 0);
@@ -347,17 +350,18 @@
   Follower follower{0,          Incarnation{9}, {"r", "a"}, {{MemberId{1}, "r", "a"}},
                     {"a", "b"}, figures(),      1,          *this};
   std::vector<std::function<void()>> letters;
-  void delta(MemberId, Incarnation of, FollowNo n, Version from, Version upto, bool whole, Nanos age,
+  void delta(MemberId, Incarnation of, FollowNo n, Version from, Version upto, Version last, Nanos age,
              const std::vector<const Entry*>& entries) override {
     std::vector<Entry> all;
     for (const Entry* entry : entries) all.push_back(*entry);
-    letters.push_back([=, this] { follower.delta(now, MemberId{1}, of, n, from, upto, whole, age, all); });
+    letters.push_back([=, this] { follower.delta(now, MemberId{1}, of, n, from, upto, last, age, all); });
   }
   void renewal(MemberId, Incarnation of, FollowNo n, Version at, const std::vector<std::uint16_t>& scopes,
-               Version from, Version upto, const std::vector<const Entry*>& entries) override {
+               Version from, Version upto, Version last, const std::vector<const Entry*>& entries) override {
     std::vector<Entry> all;
     for (const Entry* entry : entries) all.push_back(*entry);
-    letters.push_back([=, this] { follower.renewal(now, MemberId{1}, of, n, at, scopes, from, upto, all); });
+    letters.push_back(
+        [=, this] { follower.renewal(now, MemberId{1}, of, n, at, scopes, from, upto, last, all); });
   }
   void beat(MemberId, Incarnation of, FollowNo n, Version committed, Nanos age) override {
     letters.push_back([=, this] { follower.beat(now, MemberId{1}, of, n, committed, age); });
@@ -495,12 +499,12 @@
 
 struct Silent final : FeedOrders {
   std::vector<std::pair<MemberId, Version>> deltas;
-  void delta(MemberId to, Incarnation, FollowNo, Version, Version upto, bool, Nanos,
+  void delta(MemberId to, Incarnation, FollowNo, Version, Version upto, Version, Nanos,
              const std::vector<const Entry*>&) override {
     deltas.emplace_back(to, upto);
   }
   void renewal(MemberId, Incarnation, FollowNo, Version, const std::vector<std::uint16_t>&, Version, Version,
-               const std::vector<const Entry*>&) override {}
+               Version, const std::vector<const Entry*>&) override {}
   void beat(MemberId, Incarnation, FollowNo, Version, Nanos) override {}
   void rest(MemberId, Incarnation, FollowNo, Nanos) override {}
   void elsewhere(MemberId, Incarnation, FollowNo) override {}
--- a/tests/fleet_of_followers.hpp
+++ b/tests/fleet_of_followers.hpp
@@ -93,20 +93,20 @@
       for (const Entry* entry : entries) bytes += bytes_of(*entry);
       fleet.spent(*this, to, bytes);
     }
-    void delta(MemberId to, Incarnation of, FollowNo n, Version from, Version upto, bool whole, Nanos age,
+    void delta(MemberId to, Incarnation of, FollowNo n, Version from, Version upto, Version last, Nanos age,
                const std::vector<const Entry*>& entries) override {
       count(to, entries);
-      say(to, 1, [id = id, of, n, from, upto, whole, age, all = copied(entries), &f = fleet](Follower& at) {
-        at.delta(f.now, id, of, n, from, upto, whole, age, all);
+      say(to, 1, [id = id, of, n, from, upto, last, age, all = copied(entries), &f = fleet](Follower& at) {
+        at.delta(f.now, id, of, n, from, upto, last, age, all);
       });
     }
     void renewal(MemberId to, Incarnation of, FollowNo n, Version at,
-                 const std::vector<std::uint16_t>& scopes, Version from, Version upto,
+                 const std::vector<std::uint16_t>& scopes, Version from, Version upto, Version last,
                  const std::vector<const Entry*>& entries) override {
       count(to, entries);
       renewing.insert(to);
-      say(to, 1, [id = id, of, n, at, scopes, from, upto, all = copied(entries), &f = fleet](Follower& one) {
-        one.renewal(f.now, id, of, n, at, scopes, from, upto, all);
+      say(to, 1, [=, id = id, all = copied(entries), &f = fleet](Follower& one) {
+        one.renewal(f.now, id, of, n, at, scopes, from, upto, last, all);
       });
     }
     void beat(MemberId to, Incarnation of, FollowNo n, Version committed, Nanos age) override {
