--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -165,8 +165,7 @@
       if (at.taken == at.staged) follower->owes_whole = false;
     } else if (at.renewals != follower->renewals_before && at.staged >= follower->renewal_at) {
       end_renewal(now, *follower, true);
-      for (ScopeHeld& one : follower->scopes) one.held = true;
-      follower->dirty = follower->owes_whole = true;
+      follower->dirty = follower->owes_whole = follower->renewed = true;
     } else {
       follower->renewals_before = at.renewals;
       follower->anew = false;
@@ -206,7 +205,8 @@
   if (!follower) return;
   if (digests.size() != follower->scopes.size()) return void(++counts_.senseless);
   if (!follower->primary || follower->renews) return;
-  for (std::size_t i = 0; i < digests.size(); ++i) follower->scopes[i].digest = digests[i];
+  for (std::size_t i = 0; i < digests.size(); ++i)
+    follower->scopes[i] = {follower->names[i], digests[i], true};
   follower->digests_at = at;
   look_at_digests(now, from, *follower, at);
 }
@@ -425,8 +425,9 @@
 
 // It can't go on by a delta: deletions are forgotten, or there is a scope of which it holds nothing.
 bool Feed::lacks(const Follower& follower) const {
-  return follower.at.staged < state_.floor() || std::any_of(follower.scopes.begin(), follower.scopes.end(),
-                                                            [](const ScopeHeld& one) { return !one.held; });
+  if (follower.at.staged < state_.floor()) return true;
+  return !follower.renewed && std::any_of(follower.scopes.begin(), follower.scopes.end(),
+                                          [](const ScopeHeld& one) { return !one.held; });
 }
 
 // Whatever is due for one follower, and when it is to be looked at again.
--- a/control/feed.hpp
+++ b/control/feed.hpp
@@ -132,7 +132,7 @@
     bool dirty = false;      // something of its scopes may be newer than what it has
     bool owes_whole = false; // what it has staged is to be taken, though nothing may follow
     // A renewal: with a `ticket` in line for it, or under way.
-    bool renews = false, renewing = false;
+    bool renews = false, renewing = false, renewed = false;
     std::uint64_t ticket = 0;
     Nanos rested_until = 0, renewing_since = 0;
     Version renewal_at{};
--- a/control/follower.cpp
+++ b/control/follower.cpp
@@ -488,7 +488,8 @@
     if (!member.line) continue;
     if (now >= member.next_have) answer(now, member);
     const bool level = member.primary && member.heard && at_.staged == at_.taken &&
-                       member.committed == at_.taken && at_.taken != Version{};
+                       member.committed == at_.taken && at_.taken != Version{} &&
+                       held_.size() == scopes_.size();
     if (!level || now < next_compare_) continue;
     std::vector<std::uint64_t> digests;
     for (const std::string& scope : scopes_) digests.push_back(state_->digest(scope));
--- a/tests/fleet_of_followers.hpp
+++ b/tests/fleet_of_followers.hpp
@@ -240,6 +240,7 @@
     if (verdict_.level_after < 0 || verdict_.level_after > plan_.level_within)
       wrong({}, "not all level in time");
     for (auto& one : controls_) add(verdict_.feed, one->feed->counts());
+    if (verdict_.feed.senseless + verdict_.follower.senseless > 0) wrong({}, "says what makes no sense");
     return verdict_;
   }
 
