--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t gone_part = 4;    // of the members that a part may hold, as many may be told as gone
 constexpr Nanos double_silences =
     4; // a life that ended is told as well for one of them, and words may be late
-constexpr int answer_doublings = 4;         // of the time for an answer
+constexpr int answer_doublings = 2;         // of the time for an answer
 constexpr std::size_t record_overhead = 48; // bytes of a record beside its texts, at the most
 
 std::size_t bytes_of(const MemberRecord& record) {
@@ -170,8 +170,10 @@
   if (at == others_.end()) return void(++counts_.senseless);
   Other& other = at->second;
   if (of != other.of) {
-    // Against a late word of a life before.
-    if (std::find(other.lives.begin(), other.lives.end(), of) != other.lives.end()) return;
+    // Against a late word of a life before; unless it was the one that was taken for the newer by such a
+    // word.
+    const bool before = std::find(other.lives.begin(), other.lives.end(), of) != other.lives.end();
+    if (before && now - other.heard_at < silent_) return;
     if (other.of != Incarnation{}) other.lives.push_back(other.of);
     if (other.lives.size() > kept_lives) other.lives.pop_front();
     other.of = of;
@@ -349,7 +351,7 @@
     if (!other.silent) also(other.heard_at + silent_);
     if (!other.records.empty()) also(other.heard_at + forget_);
   }
-  for (const auto& [id, since] : double_since_) also(since + double_silences * silent_);
+  for (const auto& [id, seen] : double_since_) also(seen.since + double_silences * silent_);
   return next;
 }
 
@@ -382,8 +384,8 @@
     say(now, id, other);
   }
   std::vector<MemberId> doubles;
-  for (const auto& [id, since] : double_since_)
-    if (now - since >= double_silences * silent_) doubles.push_back(id);
+  for (const auto& [id, seen] : double_since_)
+    if (now - seen.since >= double_silences * silent_) doubles.push_back(id);
   for (const MemberId id : doubles) {
     double_since_.erase(id);
     tell_doubled(id);
@@ -397,14 +399,10 @@
   ++counts_.looked_at;
   const MemberRecord* best = nullptr;
   Presence presence = Presence::gone;
-  Incarnation well{};
-  bool two = false;
-  const auto weigh = [&](const MemberRecord& record, bool unheard) {
+  std::set<Incarnation> well;
+  const auto weigh = [&](const MemberRecord& record, bool unheard, bool old) {
     const Presence told = unheard && record.presence == Presence::well ? Presence::silent : record.presence;
-    if (told == Presence::well) {
-      two = two || (well != Incarnation{} && well != record.incarnation);
-      well = record.incarnation;
-    }
+    if (told == Presence::well && !old) well.insert(record.incarnation);
     const auto rank = [](Presence p, const MemberRecord& r) {
       return std::make_pair(p == Presence::well, r.attached);
     };
@@ -413,16 +411,16 @@
     presence = told;
   };
   if (const auto at = mine_.find(member); at != mine_.end() && at->second.record.presence != Presence::gone)
-    weigh(at->second.record, false);
+    weigh(at->second.record, false, false);
   if (const auto tellers = told_by_.find(member); tellers != told_by_.end())
     for (const MemberId owner : tellers->second) {
       const Other& other = others_.at(owner);
-      weigh(other.records.at(member), other.silent);
+      weigh(other.records.at(member), other.silent, other.comes);
     }
-  if (two)
-    double_since_.emplace(member, now);
-  else
+  if (well.size() < 2)
     double_since_.erase(member);
+  else if (Double& seen = double_since_[member]; seen.lives != well)
+    seen = {now, well}; // against a member that starts anew again and again
   const auto at = view_.find(member);
   const Presence before = at == view_.end() ? Presence::gone : at->second.presence;
   if (at != view_.end()) count(at->second, -1);
--- a/control/directory.hpp
+++ b/control/directory.hpp
@@ -158,7 +158,11 @@
   std::map<MemberId, Other> others_;
   std::map<MemberId, std::set<MemberId>> told_by_; // by which others
   std::map<MemberId, MemberRecord> view_;
-  std::map<MemberId, Nanos> double_since_; // two lives are told as well
+  struct Double {
+    Nanos since = 0;
+    std::set<Incarnation> lives;
+  };
+  std::map<MemberId, Double> double_since_; // two lives are told as well
   std::set<MemberId> told_doubled_;
   std::map<std::string, Zone, std::less<>> zones_;
   std::set<std::pair<Nanos, MemberId>> wakes_; // of those in this one's part
