--- a/peers/control_follower.cpp
+++ b/peers/control_follower.cpp
@@ -97,14 +97,14 @@
 
 // ---- from control members
 
-void ControlFollower::delta(Incarnation to, FollowNo number, Version from, Version upto, bool whole,
+void ControlFollower::delta(Incarnation to, FollowNo number, Version from, Version upto, Version last,
                             Nanos age, const std::vector<Entry>& entries) {
-  follower_.delta(now_, from_, to, number, from, upto, whole, age, entries);
+  follower_.delta(now_, from_, to, number, from, upto, last, age, entries);
 }
 void ControlFollower::renewal(Incarnation to, FollowNo number, Version at,
                               const std::vector<std::uint16_t>& scopes, Version from, Version upto,
-                              const std::vector<Entry>& entries) {
-  follower_.renewal(now_, from_, to, number, at, scopes, from, upto, entries);
+                              Version last, const std::vector<Entry>& entries) {
+  follower_.renewal(now_, from_, to, number, at, scopes, from, upto, last, entries);
 }
 void ControlFollower::beat(Incarnation to, FollowNo number, Version committed, Nanos age) {
   follower_.beat(now_, from_, to, number, committed, age);
--- a/peers/control_follower.hpp
+++ b/peers/control_follower.hpp
@@ -79,10 +79,10 @@
   }
   void left(MemberId member, LeftWhy why) override { orders_.left(member, why); }
   // From control members
-  void delta(Incarnation to, FollowNo number, Version from, Version upto, bool whole, Nanos age,
+  void delta(Incarnation to, FollowNo number, Version from, Version upto, Version last, Nanos age,
              const std::vector<Entry>& entries) override;
   void renewal(Incarnation to, FollowNo number, Version at, const std::vector<std::uint16_t>& scopes,
-               Version from, Version upto, const std::vector<Entry>& entries) override;
+               Version from, Version upto, Version last, const std::vector<Entry>& entries) override;
   void beat(Incarnation to, FollowNo number, Version committed, Nanos age) override;
   void rest(Incarnation to, FollowNo number, Nanos rest) override;
   void elsewhere(Incarnation to, FollowNo number) override;
--- a/peers/control_member.cpp
+++ b/peers/control_member.cpp
@@ -355,13 +355,13 @@
 // ---- what is given out
 
 void ControlMember::delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto,
-                          bool whole, Nanos age, const std::vector<const Entry*>& entries) {
-  say(to, "part", control_words::delta(of, number, from, upto, whole, age, entries));
+                          Version last, Nanos age, const std::vector<const Entry*>& entries) {
+  say(to, "part", control_words::delta(of, number, from, upto, last, age, entries));
 }
 void ControlMember::renewal(MemberId to, Incarnation of, FollowNo number, Version at,
                             const std::vector<std::uint16_t>& scopes, Version from, Version upto,
-                            const std::vector<const Entry*>& entries) {
-  say(to, "part", control_words::renewal(of, number, at, scopes, from, upto, entries));
+                            Version last, const std::vector<const Entry*>& entries) {
+  say(to, "part", control_words::renewal(of, number, at, scopes, from, upto, last, entries));
 }
 void ControlMember::beat(MemberId to, Incarnation of, FollowNo number, Version committed, Nanos age) {
   say(to, "beat", control_words::beat(of, number, committed, age));
--- a/peers/control_member.hpp
+++ b/peers/control_member.hpp
@@ -132,10 +132,10 @@
   void stepped_down(Token token) override { orders_.stepped_down(token); }
   void superseded(Token token, Token seen) override;
   // What is given out
-  void delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto, bool whole, Nanos age,
-             const std::vector<const Entry*>& entries) override;
+  void delta(MemberId to, Incarnation of, FollowNo number, Version from, Version upto, Version last,
+             Nanos age, const std::vector<const Entry*>& entries) override;
   void renewal(MemberId to, Incarnation of, FollowNo number, Version at,
-               const std::vector<std::uint16_t>& scopes, Version from, Version upto,
+               const std::vector<std::uint16_t>& scopes, Version from, Version upto, Version last,
                const std::vector<const Entry*>& entries) override;
   void beat(MemberId to, Incarnation of, FollowNo number, Version committed, Nanos age) override;
   void rest(MemberId to, Incarnation of, FollowNo number, Nanos rest) override;
--- a/peers/control_words.cpp
+++ b/peers/control_words.cpp
@@ -243,20 +243,20 @@
 
 // ---- and back
 
-std::string delta(Incarnation to, FollowNo number, Version from, Version upto, bool whole, Nanos age,
+std::string delta(Incarnation to, FollowNo number, Version from, Version upto, Version last, Nanos age,
                   const std::vector<const Entry*>& entries) {
   return word(to, [&](wire::Control& out) {
     wire::Delta& one = *out.mutable_delta();
     one.set_number(number.raw);
     put(*one.mutable_from(), from);
     put(*one.mutable_upto(), upto);
-    one.set_whole(whole);
+    put(*one.mutable_last(), last);
     one.set_age(age);
     for (const Entry* entry : entries) put(*one.add_entry(), *entry);
   });
 }
 std::string renewal(Incarnation to, FollowNo number, Version at, const std::vector<std::uint16_t>& scopes,
-                    Version from, Version upto, const std::vector<const Entry*>& entries) {
+                    Version from, Version upto, Version last, const std::vector<const Entry*>& entries) {
   return word(to, [&](wire::Control& out) {
     wire::Renewal& one = *out.mutable_renewal();
     one.set_number(number.raw);
@@ -264,6 +264,7 @@
     for (const std::uint16_t scope : scopes) one.add_scope(scope);
     put(*one.mutable_from(), from);
     put(*one.mutable_upto(), upto);
+    put(*one.mutable_last(), last);
     for (const Entry* entry : entries) put(*one.add_entry(), *entry);
   });
 }
@@ -403,8 +404,8 @@
   switch (in.what_case()) {
   case wire::Control::kDelta: {
     const wire::Delta& one = in.delta();
-    listener.delta(to, FollowNo{one.number()}, version_of(one.from()), version_of(one.upto()), one.whole(),
-                   one.age(), entries_of(one));
+    listener.delta(to, FollowNo{one.number()}, version_of(one.from()), version_of(one.upto()),
+                   version_of(one.last()), one.age(), entries_of(one));
     return true;
   }
   case wire::Control::kRenewal: {
@@ -415,7 +416,7 @@
       scopes.push_back(static_cast<std::uint16_t>(scope));
     }
     listener.renewal(to, FollowNo{one.number()}, version_of(one.at()), scopes, version_of(one.from()),
-                     version_of(one.upto()), entries_of(one));
+                     version_of(one.upto()), version_of(one.last()), entries_of(one));
     return true;
   }
   case wire::Control::kBeat:
--- a/peers/control_words.hpp
+++ b/peers/control_words.hpp
@@ -36,10 +36,10 @@
 std::string compare(FollowNo number, Version at, const std::vector<std::uint64_t>& digests);
 std::string unfollow(FollowNo number);
 
-std::string delta(Incarnation to, FollowNo number, Version from, Version upto, bool whole, Nanos age,
+std::string delta(Incarnation to, FollowNo number, Version from, Version upto, Version last, Nanos age,
                   const std::vector<const Entry*>& entries);
 std::string renewal(Incarnation to, FollowNo number, Version at, const std::vector<std::uint16_t>& scopes,
-                    Version from, Version upto, const std::vector<const Entry*>& entries);
+                    Version from, Version upto, Version last, const std::vector<const Entry*>& entries);
 std::string beat(Incarnation to, FollowNo number, Version committed, Nanos age);
 std::string rest(Incarnation to, FollowNo number, Nanos rest);
 std::string elsewhere(Incarnation to, FollowNo number);
@@ -74,10 +74,10 @@
 class FollowerListener {
  public:
   virtual ~FollowerListener() = default;
-  virtual void delta(Incarnation to, FollowNo number, Version from, Version upto, bool whole, Nanos age,
+  virtual void delta(Incarnation to, FollowNo number, Version from, Version upto, Version last, Nanos age,
                      const std::vector<Entry>& entries) = 0;
   virtual void renewal(Incarnation to, FollowNo number, Version at, const std::vector<std::uint16_t>& scopes,
-                       Version from, Version upto, const std::vector<Entry>& entries) = 0;
+                       Version from, Version upto, Version last, const std::vector<Entry>& entries) = 0;
   virtual void beat(Incarnation to, FollowNo number, Version committed, Nanos age) = 0;
   virtual void rest(Incarnation to, FollowNo number, Nanos rest) = 0;
   virtual void elsewhere(Incarnation to, FollowNo number) = 0;
--- a/pools/pools.cpp
+++ b/pools/pools.cpp
@@ -76,7 +76,8 @@
       window_(span(given, "pools.window_ns", second)), op_types_(count_of(given, "op_type.")) {
   if (window_ < 50 * ms) throw std::invalid_argument("pools.window_ns: under 50 ms");
   double sum = 0;
-  for (std::size_t t = 0; t < count_of(given, "tenant."); ++t) {
+  const std::size_t tenants = count_of(given, "tenant."); // once: it walks them
+  for (std::size_t t = 0; t < tenants; ++t) {
     quotas_.push_back(number(given, "tenant." + std::to_string(t) + ".quota", 0));
     sum += quotas_.back();
   }
