--- a/peers/control_member.cpp
+++ b/peers/control_member.cpp
@@ -74,7 +74,7 @@
       {"peers.beat", 1'000 * ms},
       {"peers.silent", 3'000 * ms},
       {"peers.rest_least", 100 * ms},
-      {"peers.rest_most", 5'000 * ms},
+      {"peers.rest_most", 1'500 * ms}, // a region that was cut is level again within 4 s of its return
       {"peers.most_words", 256.0},
       {"peers.most_waiting_bytes", 96.0 * 1024},
       {"peers.by_choice", 1.0},
--- a/scale/control.cpp
+++ b/scale/control.cpp
@@ -234,8 +234,8 @@
       }))
     return holds_ = false;
   bool whole = phase("calm", [&] {
-    changes(changes_a_day / 86'400, 60 * second);
-    return for_(60 * second);
+    changes(changes_a_day / 86'400, 30 * second);
+    return for_(30 * second);
   });
   whole = whole && phase("burst", [&] {
             changes(100, second);
--- a/scale/control_fleet.cpp
+++ b/scale/control_fleet.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
-constexpr Nanos in_force_within = 4 * second;         // as the operators ask
+constexpr Nanos in_force_within = 4 * second; // as the operators ask
+constexpr double stray_part = 0.1;
 constexpr double kept_part = 0.02;                    // of the times of arrivals
 constexpr std::uint64_t epoch_ms = 1'800'000'000'000; // of the simulated clock's 0: some day
 constexpr unsigned puts_at_once = 400;                // while all is loaded
@@ -182,15 +183,17 @@
 // ---- what is done to it
 
 void ControlFleet::put(std::string key) {
+  const bool stray = cut_ >= 0 && chance_.unit() < stray_part;
   for (unsigned tries = 0; tries < 100; ++tries) {
     const MemberId at = control(static_cast<unsigned>(chance_.unit() * plan_.controls));
     if (!network_->up(at)) continue;
+    if (cut_ >= 0 && (region_of(network_->zone(at)) == static_cast<unsigned>(cut_)) != stray) continue;
     auto& one = static_cast<Control&>(*network_->node(at));
     if (!one.member().replica().ready()) continue;
     const bool tenants = key.ends_with("/tenants");
     std::string value = std::to_string(++values_) + " ";
     value.resize(tenants ? plan_.tenants_value : plan_.value, 'x');
-    put_at_.emplace(value.substr(0, value.find(' ')), network_->now());
+    if (!stray) put_at_.emplace(value.substr(0, value.find(' ')), network_->now());
     ++phase_.changes;
     one.member().put(moment(network_->now()), std::move(key), std::move(value), false, {});
     network_->at(network_->now(), [this, at] { // its turn, as a program's loop would have it
@@ -233,6 +236,7 @@
 }
 void ControlFleet::cut_region(unsigned region, bool is_cut) {
   network_->cut_region(region, is_cut);
+  cut_ = is_cut ? static_cast<int>(region) : -1;
   for (unsigned n = 0; n < plan_.servers; ++n)
     if (region_of(network_->zone(server(n))) == region && network_->up(server(n)))
       reachable_since_[n] = is_cut ? -1 : network_->now();
@@ -246,8 +250,7 @@
 void ControlFleet::committed(const Record& record) {
   const Entry& entry = record.entry;
   const std::uint64_t hash = hash_of(entry);
-  const auto [at, fresh] =
-      writes_.emplace(entry.version, Write{entry.key, network_->now(), network_->now(), hash});
+  const auto [at, fresh] = writes_.emplace(entry.version, Write{entry.key, -1, network_->now(), hash});
   if (!fresh) {
     if (at->second.key != entry.key || at->second.hash != hash) wrong("two writes under one version");
     return;
@@ -279,6 +282,7 @@
   const std::vector<std::string> scopes = first ? std::vector<std::string>{} : scopes_of(server.number);
   for (auto at = first ? writes_.end() : writes_.upper_bound(server.version);
        at != writes_.end() && at->first <= version; ++at) {
+    if (at->second.put_at < 0) continue;
     if (std::find(scopes.begin(), scopes.end(), scope_of(at->second.key)) == scopes.end()) continue;
     if (since < 0 || since > at->second.put_at) {
       if (since >= 0) phase_.slowest_return = std::max(phase_.slowest_return, now - since);
--- a/scale/control_fleet.hpp
+++ b/scale/control_fleet.hpp
@@ -43,7 +43,9 @@
 
   // ---- what is done to it
   bool load(Nanos until, Nanos wall_until); // routes and tenants, all in force at the control members
-  void put(std::string key);                // a change, at a control member that is up, drawn by chance
+  // A change, at a control member that is up and not cut off, drawn by chance. One in ten of the changes
+  // while a region is cut is put there, and only has to end.
+  void put(std::string key);
   void start_servers(unsigned from, unsigned to, Nanos within);
   void stop_server(unsigned n, Network::Stop how);
   void cut_region(unsigned region, bool is_cut);
@@ -97,6 +99,7 @@
   std::vector<Nanos> reachable_since_; // of each server; -1: it is not
   std::uint64_t values_ = 0;
   std::uint64_t loaded_ = 0;
+  int cut_ = -1; // the region that is cut off; -1: none
 };
 
 } // namespace cometshift::scale
--- a/scale/core_counts.cpp
+++ b/scale/core_counts.cpp
@@ -1,5 +1,6 @@
 #include "core_counts.hpp"
 
+#include "allocations.hpp"
 #include "configuration.hpp"
 #include "core_world.hpp"
 #include "slope.hpp"
@@ -12,27 +13,18 @@
 
 namespace {
 
-thread_local cometshift::scale::Counts counted;
+thread_local std::uint64_t steps = 0;
 
 } // namespace
 
 // ---- what is counted
 
 extern "C" void __sanitizer_cov_trace_pc(); // called by each basic block of what is built so
-extern "C" void __sanitizer_cov_trace_pc() { ++counted.steps; }
-
-void* operator new(std::size_t size) {
-  ++counted.allocations;
-  counted.bytes += size;
-  if (void* got = std::malloc(size > 0 ? size : 1)) return got;
-  throw std::bad_alloc();
-}
-void operator delete(void* at) noexcept { std::free(at); }
-void operator delete(void* at, std::size_t) noexcept { std::free(at); }
+extern "C" void __sanitizer_cov_trace_pc() { ++steps; }
 
 namespace cometshift::scale {
 
-Counts counts() { return counted; }
+Counts counts() { return {allocated.times, allocated.bytes, steps}; }
 
 namespace {
 
--- a/scale/network.cpp
+++ b/scale/network.cpp
@@ -1,5 +1,6 @@
 #include "network.hpp"
 
+#include "allocations.hpp"
 #include "frames.hpp"
 
 #include <algorithm>
@@ -34,8 +35,6 @@
 constexpr Nanos soonest = 1 * us;         // of a timer: against a wake at once, for ever
 constexpr std::uint64_t look_every = 256; // events between looks at the wall clock
 
-thread_local std::int64_t* account = nullptr; // of whose code runs
-
 Nanos cpu_now() {
   timespec at{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
@@ -59,17 +58,6 @@
 }
 std::uint64_t on_wire(std::size_t bytes) { return bytes + (bytes + segment - 1) / segment * headers; }
 
-void* taken(std::size_t size) {
-  void* const got = std::malloc(size ? size : 1);
-  if (!got) throw std::bad_alloc();
-  if (account) *account += static_cast<std::int64_t>(malloc_usable_size(got));
-  return got;
-}
-void given_back(void* what) {
-  if (account && what) *account -= static_cast<std::int64_t>(malloc_usable_size(what));
-  std::free(what);
-}
-
 } // namespace
 
 unsigned region_of(unsigned zone) { return region_of_zone[zone]; }
@@ -546,9 +534,3 @@
 }
 
 } // namespace cometshift::scale
-
-// ---- memory, counted by whose code runs
-
-void* operator new(std::size_t size) { return cometshift::scale::taken(size); }
-void operator delete(void* what) noexcept { cometshift::scale::given_back(what); }
-void operator delete(void* what, std::size_t) noexcept { cometshift::scale::given_back(what); }
