A lost reply no longer keeps all calls of a server back until its op is due

Cause: Choice::call_free makes no call while one that outlasted the tail is out and none made since has come back. Where no other call was in hand none can come back, and all wait for the time-out of the lost one, its op's due time. Excluded: memory, keys, the cap, warmth, the budget of calls.

Change: one call a second is made all the same, while less is in hand than may be when all is well. Limits under one call are as before.

The trace of tests/calls differs in four lines without the change.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -729,19 +729,25 @@
 }
 
 // Where one has outlasted the tail and none that was made since has come back, what lies below stands still:
-// against every server's filling its share meanwhile with calls that would end together later.
+// against every server's filling its share meanwhile with calls that would end together later. One a second
+// asks whether it does: against a lost reply's keeping all calls back until its op is due. With it no more is
+// in hand than may be when all is well; under one at once, time-outs are short and rests follow.
 bool Choice::call_free(Nanos now) const {
   if (call_share_ <= 0) return true;
   const Nanos lost = longest_call();
   int in_hand = 0;
+  bool silent = false;
+  Nanos youngest = 0;
   for (const auto& [id, op] : ops_) {
     if (op.stage != Stage::calling) continue;
     const bool outlasted = now - op.called_at > lost;
-    if (outlasted && op.called_at >= call_done_from_) return false;
+    silent = silent || (outlasted && op.called_at >= call_done_from_);
     in_hand += !outlasted;
+    youngest = std::max(youngest, op.called_at);
   }
-  return call_limit_ < 1 ? in_hand == 0 && call_from_ != undrawn && now >= call_from_
-                         : in_hand < static_cast<int>(call_limit_);
+  if (call_limit_ < 1) return !silent && in_hand == 0 && call_from_ != undrawn && now >= call_from_;
+  if (silent) return in_hand == 0 && now - youngest >= open_most && calls_.count() + 1 <= calls_at_most(now);
+  return in_hand < static_cast<int>(call_limit_);
 }
 
 // The time between the ends of calls with as many in hand as may be, and what those parked will take of it.
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -98,4 +98,28 @@
   r.after(40);
   r.called(1, Outcome::timed_out, 100);
   r.after(40);
+  const auto silent = [](Driver& d) {
+    for (unsigned id = 1; id <= 2; ++id) {
+      d.read(id);
+      d.wants_call(id);
+      d.after(300);
+    }
+  };
+  Driver t({{"call_share", 9.0}, {"op_type.0.op_timeout_ns", 20e9}, {"op_type.0.target_latency_ns", 9e9}});
+  t.say("a reply that doesn't come, and no call made since: one a second asks whether all stands still");
+  silent(t);
+  t.read(3);
+  t.wants_call(3);
+  t.read(4);
+  t.wants_call(4);
+  t.to(1900);
+  t.say("that one gets none either: the next a second after it; it comes back, and so do all");
+  t.to(2400);
+  t.called(3);
+  Driver u({{"call_share", 2.0}, {"op_type.0.op_timeout_ns", 20e9}, {"op_type.0.target_latency_ns", 9e9}});
+  u.say("a small share: with two out and silent no third is made");
+  silent(u);
+  u.read(3);
+  u.wants_call(3);
+  u.to(8000);
 }
