--- a/scale/page.cpp
+++ b/scale/page.cpp
@@ -48,6 +48,8 @@
   }
   if (form == "bytes") return in_units(value, {{1e9, " GB"}, {1e6, " MB"}, {1e3, " kB"}, {1, " B"}});
   if (form == "s") return in_units(value, {{60, " min"}, {1, " s"}, {1e-3, " ms"}, {1e-6, " us"}});
+  if (form == "ms") return in_form(value / 1e3, "s");
+  if (form == "us") return in_form(value / 1e6, "s");
   if (form == "count") return count_of(value);
   if (form == "x") return formed("%.2f", value);
   throw std::runtime_error("no form is called " + form);
--- a/scale/page.hpp
+++ b/scale/page.hpp
@@ -7,7 +7,8 @@
 // - NAME@N: the slope's value at size N; marked where N is over the largest size that ran
 // - NAME>L: the smallest size at which the slope passes L; marked likewise; "never" where it falls
 // - NAME^: the exponent, with its interval
-// FORM: `part` (of one, as percent), `bytes`, `s` (a time in seconds), `count`, `x` (two digits), `text`.
+// FORM: `part` (of one, as percent), `bytes`, `s`, `ms`, `us` (a time in these), `count`, `x` (two digits),
+// `text`.
 //
 // Errors: std::runtime_error naming the file, the line and what is missing or not understood.
 #pragma once
--- a/tests/scale_page.sh
+++ b/tests/scale_page.sh
@@ -17,6 +17,7 @@
 
 echo "== figures, medians over repeats"
 try '{link.jsonl link role=voter,members=100 cpu_part part}, {link.jsonl link members=100 sent_bytes_s bytes}, {link.jsonl link - settle_s s}'
+try '{link.jsonl link members=100 cpu_part us}, {link.jsonl link members=100 sent_bytes_s ms}'
 echo "== slopes: at a size, where a limit is passed, the exponent"
 try '{link.jsonl slope role=voter cpu_part@1000 part}; {link.jsonl slope role=voter cpu_part@6600 part}'
 try '{link.jsonl slope role=voter cpu_part>0.023 count}; {link.jsonl slope role=voter cpu_part>10 count}; {link.jsonl slope role=voter flat>10 count}; {link.jsonl slope role=voter cpu_part^ x}'
