--- a/tests/fleet_of_replicas.hpp
+++ b/tests/fleet_of_replicas.hpp
@@ -559,6 +559,8 @@
     if (token < newest_) return;
     newest_ = token;
     if (!after_loss || head_ == Version{}) return;
+    // Before a majority has heard that it counts, a loss is not seen as one.
+    if (!formed_) verdict_.spared = false;
     if (verdict_.spared) return wrong("begun anew though a majority held");
     // From here on: what this writer has.
     ++era_;
