--- a/tests/control_feed.cpp
+++ b/tests/control_feed.cpp
@@ -350,6 +350,7 @@
   Follower follower{0,          Incarnation{9}, {"r", "a"}, {{MemberId{1}, "r", "a"}},
                     {"a", "b"}, figures(),      1,          *this};
   std::vector<std::function<void()>> letters;
+  FollowNo number{}; // of the last attachment
   void delta(MemberId, Incarnation of, FollowNo n, Version from, Version upto, Version last, Nanos age,
              const std::vector<const Entry*>& entries) override {
     std::vector<Entry> all;
@@ -375,6 +376,7 @@
   }
   void follow(MemberId, FollowNo n, bool primary, const Position& at,
               const std::vector<ScopeHeld>& scopes) override {
+    number = n;
     letters.push_back([=, this] { feed->follow(now, MemberId{20}, Incarnation{9}, n, primary, at, scopes); });
   }
   void have(MemberId, FollowNo n, const Position& at) override {
@@ -420,6 +422,28 @@
   return {};
 }
 
+// What no feed here says, but a server must not take.
+std::string refusals() {
+  Lost s;
+  const MemberId from{1};
+  s.begin({put("a/x", 1, "1"), put("b/y", 2, "2")});
+  s.run(5 * second);
+  const FollowNo n = s.number;
+  Follower& f = s.follower;
+  f.delta(s.now, from, Incarnation{9}, n, v(4), v(5), v(5), 0, {put("a/x", 5, "5")});
+  if (f.version() != v(2)) return "a delta is taken with a gap before it";
+  f.delta(s.now, from, Incarnation{9}, n, v(0), v(1), v(1), 0, {put("a/x", 1, "0")});
+  f.renewal(s.now, from, Incarnation{9}, n, v(1), {0, 1}, {}, v(1), v(1), {put("a/x", 1, "0")});
+  f.delta(s.now, from, Incarnation{9}, n, v(1), v(1), v(1), 0, {});
+  if (f.version() != v(2)) return "an older state is taken";
+  f.delta(s.now, from, Incarnation{9}, n, v(2), v(3), v(4), 0, {put("a/x", 3, "3")});
+  if (f.version() != v(2) || f.find("a/x")->value != "1") return "a part is taken alone";
+  f.delta(s.now, from, Incarnation{9}, n, v(3), v(3), v(3), 0, {});
+  if (f.version() != v(2)) return "what is staged is ended by an older state";
+  f.delta(s.now, from, Incarnation{9}, n, v(3), v(4), v(4), 0, {put("b/y", 4, "4")});
+  return f.version() == v(4) && f.find("a/x")->value == "3" ? "" : "a whole delta is not taken";
+}
+
 struct Sum {
   std::uint64_t seeds = 0, wrong = 0, commits = 0, taken = 0, lives = 0;
   Feed::Counts feed;
@@ -444,12 +468,10 @@
 
 int many(std::uint64_t seeds, bool stop) {
   Sum sum;
+  for (const std::string& what : {lost_history(), refusals()})
+    if (!what.empty() && ++sum.wrong == 1) sum.first = what;
   for (std::uint64_t seed = 1; seed <= seeds && !(stop && sum.wrong > 0); ++seed)
     sum.add(kind_of(seed), FleetOfFollowers(kind_of(seed)).play());
-  if (const std::string lost = lost_history(); !lost.empty() && sum.wrong == 0) {
-    ++sum.wrong;
-    sum.first = "all lost: " + lost;
-  }
   const auto n = [](std::uint64_t count) { return static_cast<unsigned long long>(count); };
   std::printf("%llu seeds, wrong %llu: %llu commits, %llu lives of servers, %llu states taken\n",
               n(sum.seeds), n(sum.wrong), n(sum.commits), n(sum.lives), n(sum.taken));
