--- a/peers/control_member.cpp
+++ b/peers/control_member.cpp
@@ -49,7 +49,7 @@
       {"control.burst", 24'000.0}, // what it may get in the 4 s that a change has
       {"control.total_rate", 20e6},
       {"control.total_burst", 4e6},
-      {"control.most_whole", 200.0},
+      {"control.most_whole", 1'000.0},
       {"control.most_part", 4'600.0}, // bytes in one word
       {"control.most_batch", 4'600.0},
       {"control.most_batches", 48.0}, // under way: to a region 0.3 s away and back some 700 KB a second
