--- a/control/replica.cpp
+++ b/control/replica.cpp
@@ -18,9 +18,7 @@
 constexpr std::size_t most_results = 4096;      // of a session: over what a member has under way
 constexpr std::size_t most_staged = 2;          // times the bound of bytes: of a state that is being fetched
 
-constexpr std::size_t record_overhead =
-    64; // bytes that a record costs on its way beside key and value, at the most
-std::size_t size_of(const Entry& entry) { return entry.key.size() + entry.value.size() + record_overhead; }
+std::size_t size_of(const Entry& entry) { return entry.key.size() + entry.value.size(); }
 std::size_t size_of(const Record& record) { return size_of(record.entry); }
 
 std::size_t majority_of(std::size_t voters) { return voters / 2 + 1; }
@@ -112,6 +110,7 @@
   most_log_ = static_cast<std::size_t>(needed(figures, "control.most_log", 1));
   most_pending_ = static_cast<std::size_t>(needed(figures, "control.most_pending", 1));
   most_batch_ = static_cast<std::size_t>(needed(figures, "control.most_batch", 1));
+  overhead_ = static_cast<std::size_t>(number(figures, "control.record_overhead", 0));
   most_batches_ = static_cast<std::size_t>(needed(figures, "control.most_batches", 1));
   most_entries_ = static_cast<std::size_t>(needed(figures, "control.most_entries", 1));
   most_bytes_ = static_cast<std::size_t>(needed(figures, "control.most_bytes", 1));
@@ -497,7 +496,7 @@
   while (next < log_.size() && fellow.mark - fellow.echoed < fellow.window) {
     append.records.clear();
     for (std::size_t bytes = 0; next < log_.size(); ++next) {
-      bytes += size_of(log_[next]);
+      bytes += size_of(log_[next]) + overhead_;
       if (bytes > most_batch_ && !append.records.empty()) break;
       append.records.push_back(log_[next]);
     }
@@ -717,7 +716,7 @@
     chunk.records.clear();
     std::size_t bytes = 0;
     const auto fits = [&](std::size_t more) {
-      bytes += more;
+      bytes += more + overhead_;
       return chunk.records.empty() || bytes <= most_batch_;
     };
     bool whole = true;
--- a/control/replica.hpp
+++ b/control/replica.hpp
@@ -161,6 +161,7 @@
   // - control.most_puts: of this member, under way
   // - control.most_log: records kept to level others with; control.most_pending: of these not committed
   // - control.most_batch: bytes of keys and values in one append or chunk (one record goes whole)
+  // - control.record_overhead: that a record costs there beside key and value; 0 unless told
   // - control.most_batches: under way to one member
   Replica(Nanos now, MemberId self, Incarnation incarnation, std::set<MemberId> members,
           std::set<MemberId> voters, const Given& figures, ReplicaOrders& orders);
@@ -314,7 +315,8 @@
   Incarnation incarnation_;
   std::set<MemberId> members_, voters_;
   Nanos beat_, again_, batch_, grace_, patience_, put_timeout_;
-  std::size_t most_puts_, most_log_, most_pending_, most_batch_, most_batches_, most_entries_, most_bytes_;
+  std::size_t most_puts_, most_log_, most_pending_, most_batch_, overhead_, most_batches_, most_entries_,
+      most_bytes_;
 
   Entries entries_;
   Version committed_{};
--- a/peers/control_member.cpp
+++ b/peers/control_member.cpp
@@ -52,6 +52,7 @@
       {"control.most_whole", 1'000.0},
       {"control.most_part", 4'600.0}, // bytes in one word
       {"control.most_batch", 4'600.0},
+      {"control.record_overhead", 64.0},
       {"control.most_batches", 48.0}, // under way: to a region 0.3 s away and back some 700 KB a second
       {"control.most_followers", 8'192.0},
       {"control.most_members", 16'384.0},
