--- a/peers/peers.hpp
+++ b/peers/peers.hpp
@@ -121,6 +121,7 @@
   };
   const Costs& costs() const { return costs_; }
   std::size_t lines() const { return lines_; } // that stand
+  Nanos silent() const { return silent_; }     // by the figures: the least patience
   Nanos beat() const;                          // as it is now, to those who ask for no rarer one
 
  private:
@@ -140,6 +141,9 @@
     std::uint64_t number = 0; // of the last letter
     // Letters that were sent and not answered, by number; of many only the first and the last count.
     std::deque<std::pair<std::uint64_t, Nanos>> unanswered;
+    Nanos asked_at = -1;     // a word that wants an answer went out on this line, and nothing was heard since
+    bool missed = false;     // it wrote without having heard what went out on this line long before
+    Nanos missed_since = -1; // that went out, and it has answered nothing since, on no line
     Hearing hearing = Hearing::unknown;
     Nanos heard_at = -1;
     words::Rhythm rhythm{};  // as it said last
@@ -165,7 +169,7 @@
   void down(Nanos now, Fellow& fellow);
   void end(Nanos now, MemberId of, Fellow& fellow);
   void let_go(Fellow& fellow, bool stale_only);
-  std::string next_words(Fellow& fellow);
+  std::string next_words(Fellow& fellow, bool& asks);
   Nanos patience(const Fellow& fellow) const;
   Nanos wake_of(MemberId of, const Fellow& fellow) const;
   void file(MemberId member, Fellow& fellow);
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -20,6 +20,7 @@
     Network& network;
     std::string fleet;
     std::vector<MemberId> others; // as its file lists them
+    bool welcomes = false;        // takes who is not listed as one that was learnt, while there is room
     VoterList voters;
     std::vector<std::string> wishes; // leases that it asks for as long as it lives
     Given figures;                   // leases.*, peers.*
@@ -73,7 +74,7 @@
   words::Speaker self_;
   std::deque<std::function<void()>> own_; // what this member says to itself
   std::set<std::string, std::less<>> holding_;
-  std::vector<MemberId> listed_; // sorted
+  bool welcomes_;
   Voters voters_;
   Leases leases_;
   Peers peers_;
