--- a/scale/control.cpp
+++ b/scale/control.cpp
@@ -219,9 +219,12 @@
            got.server_most <= server_bytes && got.server_memory <= server_memory &&
            got.control_cpu <= control_cpu && came.slowest <= in_force;
   if (options_.counts)
-    std::printf("%-8s %5u  %s, %llu changes, letters a second of a server %.1f\n", name.c_str(), members_,
-                whole && came.wrong == 0 ? "right" : came.first_wrong.c_str(),
-                static_cast<unsigned long long>(came.changes), got.server_letters);
+    std::printf("%s, %u servers: %s, %llu changes%s, letters a second of a server %.1f%s%s\n", name.c_str(),
+                members_, whole && came.wrong == 0 ? "right" : "WRONG",
+                static_cast<unsigned long long>(came.changes),
+                came.slowest <= in_force ? " in force within 4 s" : ", some in force later than 4 s",
+                got.server_letters, got.server_most <= server_bytes ? "" : ", over 6 KB a second",
+                whole && came.wrong == 0 ? "" : (": " + came.first_wrong).c_str());
   return whole;
 }
 
--- a/tests/leases.cpp
+++ b/tests/leases.cpp
@@ -230,6 +230,18 @@
   late.due(0);
   late.granted(970 * ms, MemberId{1}, me, "t", AskNo{1}, false);
   late.granted(981 * ms, MemberId{2}, me, "t", AskNo{1}, false);
+  say("voters an eighth of a term away and more: asked again before they have answered; told how far, waited "
+      "for");
+  for (const bool told : {false, true}) {
+    Given far = figures();
+    if (told) far["leases.answer"] = 200e6;
+    Leases away(0, MemberId{9}, me, voters, far, 1, out);
+    away.want(0, "t");
+    away.due(0);
+    away.due(126 * ms);
+    away.granted(150 * ms, MemberId{1}, me, "t", AskNo{1}, false);
+    away.granted(150 * ms, MemberId{2}, me, "t", AskNo{1}, false);
+  }
   say("a token that is too small: at once a greater one");
   Leases small(0, MemberId{9}, me, voters, figures(), 1, out);
   small.want(0, "t");
