--- a/scale/control.cpp
+++ b/scale/control.cpp
@@ -248,18 +248,22 @@
             changes(100, second, true);
             return for_(10 * second);
           });
-  // One control member after the other, its process or its machine.
+  // The writer, then one control member after the other, its process or its machine.
   whole = whole && phase("kill_one", [&] {
+            const unsigned writer = fleet_.writer();
             for (unsigned c = 0; c < std::min(controls, 6U); ++c) {
               changes(1, 10 * second);
-              kill_control(c, c % 2 ? Network::Stop::mute : Network::Stop::reset, 5 * second);
+              kill_control((writer + c) % controls, c % 2 ? Network::Stop::mute : Network::Stop::reset,
+                           5 * second);
               if (!for_(10 * second)) return false;
             }
             return true;
           });
-  // Both of a region, then two of others.
+  // Both of the writer's region, then two others that vote.
   whole = whole && phase("kill_two", [&] {
-            for (const auto& [a, b] : {std::pair{0U, 5U % controls}, {1U, 2U}}) {
+            const unsigned writer = fleet_.writer();
+            for (const auto& [a, b] : {std::pair{writer, (writer + regions) % controls},
+                                       {(writer + 1) % plan_.voters, (writer + 2) % plan_.voters}}) {
               changes(1, 12 * second);
               kill_control(a, Network::Stop::reset, 6 * second);
               kill_control(b, Network::Stop::mute, 6 * second);
--- a/scale/control_fleet.cpp
+++ b/scale/control_fleet.cpp
@@ -301,11 +301,16 @@
 
 void ControlFleet::begin_phase() { phase_ = {}; }
 bool ControlFleet::in_office() const {
-  for (const MemberId one : controls_)
-    if (network_->up(one) &&
-        static_cast<Control*>(network_->node(one))->member().replica().writes(network_->now()))
-      return true;
-  return false;
+  return std::any_of(controls_.begin(), controls_.end(), [this](MemberId one) { return writes(one); });
+}
+unsigned ControlFleet::writer() const {
+  for (unsigned c = 0; c < plan_.controls; ++c)
+    if (writes(control(c))) return c;
+  return 0;
+}
+bool ControlFleet::writes(MemberId one) const {
+  return network_->up(one) &&
+         static_cast<Control*>(network_->node(one))->member().replica().writes(network_->now());
 }
 unsigned ControlFleet::behind() const {
   unsigned count = 0;
--- a/scale/control_fleet.hpp
+++ b/scale/control_fleet.hpp
@@ -67,7 +67,8 @@
   // Compares all that are up, scope by scope, with the writer's state; what differs is counted as wrong.
   void compare_all();
   Version newest() const { return newest_; }
-  bool in_office() const; // some control member writes now
+  bool in_office() const;  // some control member writes now
+  unsigned writer() const; // which; 0 where none does
 
  private:
   class Control;
@@ -81,6 +82,7 @@
   std::unique_ptr<Node> make(Nanos now, MemberId member, std::uint64_t life);
   Moment moment(Nanos now) const;
   std::vector<std::string> scopes_of(unsigned server) const;
+  bool writes(MemberId control) const;
   void committed(const Record& record);
   void taken(Server& server, Version version, const std::vector<const Entry*>& changed);
   void wrong(std::string what);
