Read over: a time that nothing read, and a comment that named a bound there is not

The referee of the hollow control fleet kept a time of commit beside each write that nothing looked at; control_words.hpp spoke of entry_room, which does not exist.

--- a/peers/control_words.hpp
+++ b/peers/control_words.hpp
@@ -2,8 +2,8 @@
 // (control.proto). Each is one `control` word of a letter (words.hpp), so which fleet, who, in which
 // incarnation and that no byte was spoilt is known before.
 //
-// Bounds: words::most_control bytes each. `entry_room` is what a word may hold of keys and values with
-// `entry_overhead` (following.hpp) a piece, so that none is longer.
+// Bounds: words::most_control bytes each. What holds entries or records keeps to it by control.most_part,
+// .most_batch and .record_overhead (control_figures); tests/control_words.cpp holds the longest against it.
 // Errors: reading returns false for what is no such word; nothing of it was told then.
 #pragma once
 
--- a/scale/control_fleet.cpp
+++ b/scale/control_fleet.cpp
@@ -250,7 +250,7 @@
 void ControlFleet::committed(const Record& record) {
   const Entry& entry = record.entry;
   const std::uint64_t hash = hash_of(entry);
-  const auto [at, fresh] = writes_.emplace(entry.version, Write{entry.key, -1, network_->now(), hash});
+  const auto [at, fresh] = writes_.emplace(entry.version, Write{entry.key, -1, hash});
   if (!fresh) {
     if (at->second.key != entry.key || at->second.hash != hash) wrong("two writes under one version");
     return;
--- a/scale/control_fleet.hpp
+++ b/scale/control_fleet.hpp
@@ -75,7 +75,7 @@
   class Server;
   struct Write {
     std::string key;
-    Nanos put_at, committed_at;
+    Nanos put_at; // -1: not told of, as where its control member was cut off
     std::uint64_t hash;
   };
 
