Each event has the time it is handled at, not that of its turn of the event loop

Callers saw: a booking that was read as the machine went on after a pause of 490 ms, and came again 18.1 s later, within its window of 18.276 s, was run a second time.

Cause: Clock::now() read the system clock once in a turn of the event loop. If the process was stopped within the turn, what was read in the rest of it was handled under the time before the stop. Core::op_received() took such an op for received at that time, and its key window, counted from there, ended too early by the pause. Due times and the times of runs and calls of that turn moved in the same way.

Change: Clock reads the system clock at each call, and Host asks it for each event, after the event's input was read, so nothing that is read is newer than its time. The test clock asserted one time a turn, which was the fault; it asserts now that a second reading shows the time that passed, line for line as before.

--- a/node/clock.hpp
+++ b/node/clock.hpp
@@ -1,30 +1,31 @@
-// The server's clock: Unix time that never goes back and stays the same within a turn of the event loop. The
-// system time is passed in; this class does not read it.
+// The server's clock: Unix time that never goes back. The system time is passed in; this class does not read
+// it.
 #pragma once
 
 #include "ids.hpp"
 
+#include <functional>
+#include <utility>
+
 namespace cometshift {
 
-// Monotonic Unix time, constant within a turn.
+// Monotonic Unix time. Each reading reads the system clock: the process may be stopped at any point, so an
+// earlier reading may be long past, and what is read from a socket after it may be newer than it.
 class Clock {
+  std::function<Nanos()> system_time_;
   Nanos now_ = 0;
   Nanos offset_ = 0; // of this clock against the system clock; grows when the system clock is set back
-  bool turn_started_ = false;
 
  public:
-  // The time of this turn. `system` returns the system time and is called once per turn.
-  template <class System>
-  Nanos now(System system) {
-    if (turn_started_) return now_;
-    const Nanos system_time = system();
+  explicit Clock(std::function<Nanos()> system_time) : system_time_(std::move(system_time)) {}
+
+  Nanos now() {
+    const Nanos system_time = system_time_();
     if (system_time + offset_ < now_)
       offset_ = now_ - system_time; // the system clock was set back: stand still now, advance afterwards
     now_ = system_time + offset_;
-    turn_started_ = true;
     return now_;
   }
-  void next_turn() { turn_started_ = false; }
   // Converts a time that was read from the system clock, such as an op's time of receipt.
   Nanos from_system(Nanos system_time) const { return system_time + offset_; }
 };
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -79,7 +79,7 @@
            std::string operator_path)
     : stop_signals_(io_), sighup_(io_), sigusr1_(io_),
       config_path_(catch_sighup(sighup_, std::move(config_path))), operator_path_(std::move(operator_path)),
-      timer_(io_), names_(names_from(settings)),
+      timer_(io_), names_(names_from(settings)), clock_(unix_time),
       front_(io_, text(settings, "listen", ""), max_connections(settings),
              scaled_limit(settings, "memory_mb", mb, answers_memory_divisor), names_, *this),
       interpreter_(io_, text(settings, "vm", ""),
@@ -100,7 +100,7 @@
 
 // ---- event loop
 
-Nanos Host::now() { return clock_.now(unix_time); }
+Nanos Host::now() { return clock_.now(); }
 
 // In each turn, all ready events are passed to the core first; then the resulting output is written,
 // connection by connection.
@@ -113,7 +113,6 @@
   });
   finish_turn();
   while (!finished()) {
-    clock_.next_turn();
     io_.run_one();
     run_ready_handlers();
     finish_turn();
@@ -180,7 +179,6 @@
 }
 
 bool Host::poll() {
-  clock_.next_turn();
   io_.restart();
   run_ready_handlers();
   finish_turn();
@@ -203,7 +201,6 @@
   } while (core_->has_repeats_to_answer());
   interpreter_.flush();
   if (member_) member_->turn();
-  clock_.next_turn();
   arm_timer();
 }
 
@@ -223,7 +220,6 @@
   if (next == armed_for_) return;
   armed_for_ = next;
   timer_.expires_after(std::chrono::nanoseconds(std::max<Nanos>(0, next - now())));
-  clock_.next_turn();
   timer_.async_wait([this](asio::error_code stopped) {
     if (!stopped) armed_for_ = 0;
   });
@@ -241,8 +237,9 @@
                        std::string_view subject, std::string_view body) {
   Digest digest;
   if (names_.keyed[type.raw] || core_->pools()) std::tie(digest.high, digest.low) = digest_(body);
-  recorder_.op_received(now(), ref, id, type, tenant, caller, clock_.from_system(received_at), limit, held_kb,
-                        rank, mark, subject, Content(std::string(body)), digest);
+  const Nanos read_at = now();
+  recorder_.op_received(read_at, ref, id, type, tenant, caller, clock_.from_system(received_at), limit,
+                        held_kb, rank, mark, subject, Content(std::string(body)), digest);
 }
 void Host::stream_lost(StreamRef ref) { recorder_.stream_lost(now(), ref); }
 void Host::machine_up(Nanos uptime) { recorder_.machine_up(now(), uptime); }
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -1,5 +1,5 @@
 // The server process: one core behind sockets. Owns the event loop and the timers, passes events to the core,
-// with the same time for all events of a turn, and carries out the core's actions; it makes no decisions. A
+// each with the time at which it is handled, and carries out the core's actions; it makes no decisions. A
 // recorder between the two records both if a recording is on.
 #pragma once
 
@@ -71,6 +71,7 @@
   void gauges(std::span<const double> values) override;
   void command_rejected(OpId id, std::string_view command) override;
 
+  // Read anew for each event, after its input was read.
   Nanos now();
   void run_ready_handlers();
   void finish_turn();
--- a/tests/clock.cpp
+++ b/tests/clock.cpp
@@ -3,14 +3,13 @@
 #include "recorded_core.hpp"
 
 int main() {
-  say("one time per turn, however often it is read; set back, it stops and continues from there");
-  Clock clock;
+  say("each reading is of its moment; set back, the clock stops and continues from there");
   Nanos system = 1000 * second;
+  Clock clock([&] { return system; });
   const auto turn = [&](const char* what) {
-    clock.next_turn();
-    const Nanos at = clock.now([&] { return system; });
+    const Nanos at = clock.now();
     system += ms;
-    const Nanos again = clock.now([&] { return system; });
+    const Nanos again = clock.now();
     std::printf("  %-28s %lld ms, read again %lld ms; an op's arrival at the system's time %lld ms\n", what,
                 static_cast<long long>(at / ms), static_cast<long long>(again / ms),
                 static_cast<long long>(clock.from_system(system) / ms));
@@ -26,13 +25,12 @@
   RecordedCore s;
   s.record();
   s.link();
-  Clock of_server;
   Nanos there = s.now;
+  Clock of_server([&] { return there; });
   for (std::uint64_t id = 1; id <= 40; ++id) {
     there += 20 * ms;
     if (id == 20) there -= 10 * second;
-    of_server.next_turn();
-    const Nanos now = of_server.now([&] { return there; });
+    const Nanos now = of_server.now();
     s.pass(std::max<Nanos>(0, now - s.now));
     s.came(id, 1, "m" + std::to_string(id / 2), "body", 2 * second,
            s.now - of_server.from_system(there - 5 * ms));
