Connections have the time of each event, so a pause doesn't shorten their time to end

Callers saw: if the shutdown delay of a drain ended while the process was stopped, connections were closed about 60 ms after go_away instead of 500 ms, and requests that crossed it were dropped unread. A connection accepted as the process went on after a pause had up to half a second less for its first frame, and got an error.

Change: Front reads the server's clock for each event of a connection. Tests that build a Front pass it a clock that shows the time they set; their traces are unchanged.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -32,9 +32,9 @@
 } // namespace
 
 Front::Front(asio::io_context& io, const std::string& listen, std::size_t max_connections,
-             std::size_t max_pending_bytes, Names names, Handler& handler)
+             std::size_t max_pending_bytes, Names names, Clock& clock, Handler& handler)
     : io_(io), acceptor_(io), accept_retry_timer_(io), max_connections_(max_connections),
-      max_pending_bytes_(max_pending_bytes), names_(std::move(names)), handler_(handler) {
+      max_pending_bytes_(max_pending_bytes), names_(std::move(names)), clock_(clock), handler_(handler) {
   try {
     const asio::ip::tcp::endpoint at = require_endpoint(listen);
     acceptor_.open(at.protocol());
@@ -105,7 +105,7 @@
     const ConnectionId id{next_connection_++};
     Connection& c =
         *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
-    c.last_activity = c.frame_began = now_;
+    c.last_activity = c.frame_began = clock_.now();
     on_readable(c);
   }
   return error;
@@ -137,7 +137,7 @@
     asio::error_code error;
     c.socket.shutdown(asio::socket_base::shutdown_send, error);
     if (!error) {
-      lingering_.try_emplace(next_lingering_, std::move(c.socket), now_);
+      lingering_.try_emplace(next_lingering_, std::move(c.socket), clock_.now());
       drain_lingering(next_lingering_++);
       // Lingering connections must not use up the descriptors of new ones.
       while (connections_.size() + lingering_.size() >
@@ -180,25 +180,25 @@
 
 // A frame that is partly received may complete within its timeout even after the drain delay: its caller
 // began it before it knew.
-bool Front::may_close(const Connection& c) const {
+bool Front::may_close(const Connection& c, Nanos now) const {
   if (!c.open_streams.empty() || c.pending_bytes > 0) return false;
   if (c.peer_closed) return true;
-  const bool frame_in_progress = c.filled > 0 && !c.input_ignored && now_ - c.frame_began < frame_timeout_;
-  return !frame_in_progress && c.draining_since >= 0 && now_ - c.draining_since >= drain_delay_;
+  const bool frame_in_progress = c.filled > 0 && !c.input_ignored && now - c.frame_began < frame_timeout_;
+  return !frame_in_progress && c.draining_since >= 0 && now - c.draining_since >= drain_delay_;
 }
 
-void Front::check_timeouts() {
+void Front::check_timeouts(Nanos now) {
   std::vector<ConnectionId> ended, stuck, slow;
   const Nanos timeout = std::min(idle_timeout_ > 0 ? idle_timeout_ : silence_timeout_,
                                  silence_timeout_ > 0 ? silence_timeout_ : idle_timeout_);
   for (auto& [id, c] : connections_) {
-    if (timeout > 0 && c->open_streams.empty() && now_ - c->last_activity >= timeout) send_go_away(*c);
+    if (timeout > 0 && c->open_streams.empty() && now - c->last_activity >= timeout) send_go_away(*c);
     // Peers that send nothing, or that never complete a frame, even if its bytes keep trickling in.
-    if (frame_timeout_ > 0 && c->frame_began >= 0 && now_ - c->frame_began >= frame_timeout_ &&
+    if (frame_timeout_ > 0 && c->frame_began >= 0 && now - c->frame_began >= frame_timeout_ &&
         !c->input_ignored)
       c->received_frame || c->filled > 0 ? slow.push_back(id) : send_go_away(*c);
-    if (may_close(*c)) ended.push_back(id);
-    if (write_stall_timeout_ > 0 && c->write_pending && now_ - c->write_blocked_since >= write_stall_timeout_)
+    if (may_close(*c, now)) ended.push_back(id);
+    if (write_stall_timeout_ > 0 && c->write_pending && now - c->write_blocked_since >= write_stall_timeout_)
       stuck.push_back(id);
   }
   for (const ConnectionId id : stuck) remove(*connections_.at(id), "the peer does not read its responses");
@@ -216,17 +216,18 @@
     const auto at = connections_.find(id);
     if (at == connections_.end()) continue;
     if (!at->second->peer_closed) on_readable(*at->second); // a request may be waiting
-    if (const auto still = connections_.find(id); still != connections_.end() && may_close(*still->second))
+    if (const auto still = connections_.find(id);
+        still != connections_.end() && may_close(*still->second, now))
       close_gracefully(*still->second);
   }
   // Peers that never close their side.
-  while (!lingering_.empty() && now_ - lingering_.begin()->second.since >= drain_delay_)
+  while (!lingering_.empty() && now - lingering_.begin()->second.since >= drain_delay_)
     lingering_.erase(lingering_.begin());
 }
 
 void Front::send_go_away(Connection& c) {
   if (c.draining_since >= 0) return;
-  c.draining_since = now_;
+  c.draining_since = clock_.now();
   enqueue(c, [](std::string& output) { frames::put_go_away(output); });
 }
 
@@ -270,16 +271,17 @@
       break;
     }
     if (error) return remove(c, error == asio::error::connection_reset ? nullptr : error.message().c_str());
-    if (c.frame_began < 0) c.frame_began = now_;
+    const Nanos read_at = clock_.now();
+    if (c.frame_began < 0) c.frame_began = read_at;
     c.filled += n;
-    parse_frames(c);
+    parse_frames(c, read_at);
     if (n < room || c.input_ignored) break;
   }
   if (c.filled == 0) c.input.reset(); // most connections are idle: don't hold their buffers
   wait_readable(c);
 }
 
-void Front::parse_frames(Connection& c) {
+void Front::parse_frames(Connection& c, Nanos read_at) {
   std::size_t from = 0;
   while (from < c.filled) {
     const std::size_t remaining = c.filled - from;
@@ -291,7 +293,7 @@
       const std::size_t some = std::min(c.skip_bytes, remaining);
       c.skip_bytes -= some;
       from += some;
-      if (c.skip_bytes == 0) c.frame_began = from < c.filled ? now_ : -1;
+      if (c.skip_bytes == 0) c.frame_began = from < c.filled ? read_at : -1;
       continue;
     }
     if (remaining < 4) break;
@@ -305,14 +307,14 @@
     if (remaining < (whole ? size : frames::header_size)) break;
     const char* at = c.input.get() + from;
     const std::string_view payload(at + frames::header_size, whole ? size - frames::header_size : 0);
-    if (!handle_frame(c, static_cast<std::uint8_t>(at[4]), StreamId{frames::read_le(at + 5, 4)}, payload,
-                      whole))
+    if (!handle_frame(c, read_at, static_cast<std::uint8_t>(at[4]), StreamId{frames::read_le(at + 5, 4)},
+                      payload, whole))
       continue;
     from += whole ? size : frames::header_size;
     if (!whole) c.skip_bytes = size - frames::header_size;
     c.received_frame = true;
-    c.last_activity = now_;
-    c.frame_began = c.skip_bytes > 0 || from < c.filled ? now_ : -1;
+    c.last_activity = read_at;
+    c.frame_began = c.skip_bytes > 0 || from < c.filled ? read_at : -1;
   }
   std::copy(c.input.get() + from, c.input.get() + c.filled, c.input.get());
   c.filled -= from;
@@ -349,10 +351,10 @@
   return true;
 }
 
-bool Front::handle_frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload,
-                         bool whole) {
+bool Front::handle_frame(Connection& c, Nanos read_at, std::uint8_t type, StreamId stream,
+                         std::string_view payload, bool whole) {
   // Bounds peers that keep sending after go_away. A few frames are accepted: they may have been in transit.
-  if (c.draining_since >= 0 && now_ - c.draining_since >= drain_delay_ &&
+  if (c.draining_since >= 0 && read_at - c.draining_since >= drain_delay_ &&
       ++c.frames_after_drain > max_invalid_ops_)
     return reject_input(c, "too many frames after go_away");
   if (type == frames::request) return handle_request(c, stream, payload, whole);
@@ -457,7 +459,7 @@
 Front::Connection* Front::take_stream(StreamRef ref) {
   const auto at = connections_.find(ref.connection);
   if (at == connections_.end() || at->second->open_streams.erase(ref.stream) == 0) return nullptr;
-  at->second->last_activity = now_;
+  at->second->last_activity = clock_.now();
   return at->second.get();
 }
 
@@ -502,7 +504,7 @@
     std::size_t n = c.socket.write_some(std::span(pieces.data(), count), error);
     if (error == asio::error::would_block) {
       c.write_pending = true;
-      c.write_blocked_since = now_;
+      c.write_blocked_since = clock_.now();
       c.socket.async_wait(asio::socket_base::wait_write, [this, id = c.id](asio::error_code stopped) {
         const auto at = connections_.find(id);
         if (at == connections_.end()) return;
@@ -521,15 +523,16 @@
     }
     c.written = n;
   }
-  if (c.peer_closed && may_close(c)) return remove(c, nullptr); // the rest is left to check_timeouts()
+  if (c.peer_closed && may_close(c, clock_.now()))
+    return remove(c, nullptr); // the rest is left to check_timeouts()
   wait_readable(c);
 }
 
-void Front::flush(Nanos now) {
-  now_ = now;
-  if (now_ - timeouts_checked_at_ >= drain_delay_ / 8) {
-    timeouts_checked_at_ = now_;
-    check_timeouts();
+void Front::flush() {
+  const Nanos now = clock_.now();
+  if (now - timeouts_checked_at_ >= drain_delay_ / 8) {
+    timeouts_checked_at_ = now;
+    check_timeouts(now);
   }
   for (std::size_t i = 0; i < dirty_.size(); ++i) { // may grow: a lost stream can lead to more responses
     const auto at = connections_.find(dirty_[i]);
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -3,6 +3,7 @@
 // delivers the same ops.
 #pragma once
 
+#include "clock.hpp"
 #include "interface.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -43,9 +44,10 @@
   };
 
   // Listens on the address `listen`; throws std::invalid_argument if that fails. While the unwritten output
-  // of all connections exceeds `max_pending_bytes`, those with the most of it are closed.
+  // of all connections exceeds `max_pending_bytes`, those with the most of it are closed. `clock` is read for
+  // each event of a connection.
   Front(asio::io_context& io, const std::string& listen, std::size_t max_connections,
-        std::size_t max_pending_bytes, Names names, Handler& handler);
+        std::size_t max_pending_bytes, Names names, Clock& clock, Handler& handler);
 
   // The final responses; each stream takes one, further ones are ignored.
   void served(StreamRef ref, std::string result);
@@ -82,7 +84,7 @@
   // No longer accepting, and every connection has ended.
   bool closed() const { return stopped_accepting_ && connections_.empty() && lingering_.empty(); }
   // Ends a turn: checks timeouts and writes the pending output of each connection.
-  void flush(Nanos now);
+  void flush();
 
   std::size_t connections() const { return connections_.size(); }
   // Output that the peers have not taken yet, over all connections.
@@ -132,8 +134,9 @@
   bool is_idle(const Connection& c) const;
   void wait_readable(Connection& c);
   void on_readable(Connection& c);
-  void parse_frames(Connection& c);
-  bool handle_frame(Connection& c, std::uint8_t type, StreamId stream, std::string_view payload, bool whole);
+  void parse_frames(Connection& c, Nanos read_at);
+  bool handle_frame(Connection& c, Nanos read_at, std::uint8_t type, StreamId stream,
+                    std::string_view payload, bool whole);
   bool handle_request(Connection& c, StreamId stream, std::string_view payload, bool whole);
   bool claim_stream(Connection& c, StreamId stream);
   bool reject_input(Connection& c, const char* reason); // returns false: stop parsing
@@ -146,9 +149,9 @@
   void remove(Connection& c, const char* reason);
   void close_gracefully(Connection& c);
   void drain_lingering(std::uint64_t number);
-  void check_timeouts();
+  void check_timeouts(Nanos now);
   bool refuse_request(Connection& c, StreamId stream, const char* reason); // returns true: go on parsing
-  bool may_close(const Connection& c) const;
+  bool may_close(const Connection& c, Nanos now) const;
 
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
@@ -156,6 +159,7 @@
   std::size_t max_connections_;
   std::size_t max_pending_bytes_;
   Names names_;
+  Clock& clock_;
   Handler& handler_;
   std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
   std::map<std::uint64_t, Lingering> lingering_; // the oldest first
@@ -163,7 +167,6 @@
   std::vector<ConnectionId> dirty_; // have output that the next flush() is to write
   std::uint64_t next_connection_ = 1;
   std::size_t pending_bytes_ = 0; // unwritten output of all connections
-  Nanos now_ = 0;
   Nanos timeouts_checked_at_ = 0;
   Nanos idle_timeout_ = 0; // 0: no limit
   Nanos silence_timeout_ = 0;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -81,7 +81,7 @@
       config_path_(catch_sighup(sighup_, std::move(config_path))), operator_path_(std::move(operator_path)),
       timer_(io_), names_(names_from(settings)), clock_(unix_time),
       front_(io_, text(settings, "listen", ""), max_connections(settings),
-             scaled_limit(settings, "memory_mb", mb, answers_memory_divisor), names_, *this),
+             scaled_limit(settings, "memory_mb", mb, answers_memory_divisor), names_, clock_, *this),
       interpreter_(io_, text(settings, "vm", ""),
                    scaled_limit(settings, "memory_mb", mb, link_memory_divisor), *this),
       records_(io_, text(settings, "records", ""),
@@ -197,7 +197,7 @@
     front_.stop_accepting(); // not within the core's action: it can pass further ops to the core
   do {                       // a stream lost while writing can make the core answer or start other ops
     if (core_->has_repeats_to_answer()) recorder_.answer_repeats(now());
-    front_.flush(now());
+    front_.flush();
   } while (core_->has_repeats_to_answer());
   interpreter_.flush();
   if (member_) member_->turn();
--- a/scale/core.cpp
+++ b/scale/core.cpp
@@ -222,7 +222,9 @@
   Front::Names names{{"op-type-0"}, {false}, {}, true};
   for (std::size_t t = 0; t < sizes.tenants; ++t) names.tenants.push_back(tenant_name(t));
   Handler taker;
-  Front front(io, "127.0.0.1:" + std::to_string(port), 24, 1 << 20, std::move(names), taker);
+  Nanos now = 0;
+  Clock clock([&now] { return now; });
+  Front front(io, "127.0.0.1:" + std::to_string(port), 24, 1 << 20, std::move(names), clock, taker);
   front.set_eviction_order({}, 8);
   asio::ip::tcp::socket peer(io);
   peer.connect(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port));
@@ -241,7 +243,8 @@
       if (taker.lines.size() == k) spent += took, longest = std::max(longest, took);
     }
     front.refused(taker.lines.back(), 0, false);
-    front.flush(static_cast<Nanos>(k) * ms);
+    now = static_cast<Nanos>(k) * ms;
+    front.flush();
     peer.read_some(asio::buffer(dropped));
   }
   got.emplace_back("front_ask_us", spent * 1e3 / static_cast<double>(asks));
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -38,8 +38,14 @@
   asio::io_context io;
   RecordingHandler handler;
   Nanos now = second;
-  Front front{
-      io, TestConnection::at(5050), max_connections, 64 * 1024, {{"look"}, {false}, {"acme"}, true}, handler};
+  Clock clock{[this] { return now; }};
+  Front front{io,
+              TestConnection::at(5050),
+              max_connections,
+              64 * 1024,
+              {{"look"}, {false}, {"acme"}, true},
+              clock,
+              handler};
 
   Fixture() {
     front.accept_retry_delay(ms);
@@ -55,7 +61,7 @@
   void turn() {
     io.restart();
     io.poll();
-    front.flush(now);
+    front.flush();
   }
   void pass(Nanos time) {
     now += time;
@@ -196,7 +202,7 @@
     peer.say(request.substr(0, 40));
     b.now += 3 * second / 2;
     peer.send_without_turn(request.substr(40));
-    b.front.flush(b.now); // timeouts are checked before input is read
+    b.front.flush(); // timeouts are checked before input is read
     TestConnection::until("op", [&] { return b.handler.streams.size() == 2; });
     b.front.served(b.handler.streams[1], "slow");
     b.turn();
--- a/tests/forms.cpp
+++ b/tests/forms.cpp
@@ -43,11 +43,13 @@
 struct FrontFixture {
   asio::io_context io;
   OpRecorder recorder;
+  Clock clock{[] { return second; }};
   Front front{io,
               TestConnection::at(5050),
               24,
               256 * 1024,
               {{"look", "book"}, {false, true}, {"acme", "other"}, true},
+              clock,
               recorder};
   TestConnection peer;
   FrontFixture() : peer((begin(), TestConnection::to(5050))) {}
@@ -62,7 +64,7 @@
     TestConnection::turn = [this] {
       io.restart();
       io.poll();
-      front.flush(second);
+      front.flush();
     };
   }
 };
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -32,11 +32,13 @@
   asio::io_context io;
   RecordingHandler handler;
   Nanos now = second;
+  Clock clock{[this] { return now; }};
   Front front{io,
               TestConnection::at(5050),
               4,
               64 * 1024,
               {{"look", "book"}, {false, true}, {"acme", "other"}, true},
+              clock,
               handler};
   Fixture() {
     front.accept_retry_delay(ms);
@@ -45,7 +47,7 @@
     TestConnection::turn = [this] {
       io.restart();
       io.poll();
-      front.flush(now);
+      front.flush();
     };
   }
   StreamRef send_request(TestConnection& peer, const std::string& bytes) {
