The drain counts from the pause its notice came in, whatever is handled before it

Callers saw: if the machine stood still as SIGTERM came and a request was handled before the signal as it went on, the server expected the kill later than it came, by the pause, and requests had no answer by then.

Cause: DecisionModule::drain() took the gap since the last event for the pause, and the first event after the pause closed that gap.

Change: the event carries the time before which the notice can't have come: when the loop's last turn began, as signals are looked for in each turn. Tests pass the present time, which is what they meant; recorded has a new part, and its other lines are unchanged.

--- a/capture/recorder.cpp
+++ b/capture/recorder.cpp
@@ -316,9 +316,14 @@
   event(
       now, [](wire::Entry& entry) { entry.set_settle(true); }, [&] { core_->answer_repeats(now); });
 }
-void Recorder::drain(Nanos now) {
+void Recorder::drain(Nanos now, Nanos not_before) {
   event(
-      now, [](wire::Entry& entry) { entry.set_leave(true); }, [&] { core_->drain(now); });
+      now,
+      [&](wire::Entry& entry) {
+        entry.set_leave(true);
+        entry.set_leave_within(now - not_before);
+      },
+      [&] { core_->drain(now, not_before); });
 }
 
 void Recorder::set_pools(Nanos now, const Settings& pools) {
--- a/capture/recorder.hpp
+++ b/capture/recorder.hpp
@@ -50,7 +50,7 @@
   void call_finished(Nanos now, OpId id, Outcome outcome, Content reply) override;
   void due(Nanos now) override;
   void answer_repeats(Nanos now) override;
-  void drain(Nanos now) override;
+  void drain(Nanos now, Nanos not_before) override;
   void set_pools(Nanos now, const Settings& pools) override;
 
   void served(StreamRef line, OpId op, Content result) override;
--- a/capture/replay.cpp
+++ b/capture/replay.cpp
@@ -134,7 +134,8 @@
   case wire::Entry::kSettle:
     return "end of a turn, with repeats";
   case wire::Entry::kLeave:
-    return "told to leave";
+    return entry.leave_within() > 0 ? "told to leave within the last " + ms_of(entry.leave_within()) + " ms"
+                                    : "told to leave";
   case wire::Entry::kPools:
     return "pools are set, " + std::to_string(entry.pools().setting_size()) + " settings";
   case wire::Entry::kReload:
@@ -243,7 +244,7 @@
   case wire::Entry::kSettle:
     return core_->answer_repeats(now_);
   case wire::Entry::kLeave:
-    return core_->drain(now_);
+    return core_->drain(now_, now_ - entry.leave_within());
   case wire::Entry::kPools: {
     Settings pools;
     for (const wire::Setting& one : entry.pools().setting()) decode_setting(pools, one);
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -77,12 +77,12 @@
   query_orphans();
 }
 
-void Core::drain(Nanos now) {
+void Core::drain(Nanos now, Nanos not_before) {
   now_ = now;
   if (draining_) return;
   draining_ = true;
   actions_.note("drain", "draining, " + std::to_string(shutdown_timeout_ / ms) + " ms until shutdown");
-  module_->drain(now, shutdown_timeout_);
+  module_->drain(now, not_before, shutdown_timeout_);
 }
 
 // The capacity estimate carries over; ops that are already open no longer count in any pool.
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -43,7 +43,7 @@
   void call_finished(Nanos now, OpId id, Outcome outcome, Content reply) override;
   void due(Nanos now) override;
   void answer_repeats(Nanos now) override;
-  void drain(Nanos now) override;
+  void drain(Nanos now, Nanos not_before) override;
   void set_pools(Nanos now, const Settings& pools) override;
 
   bool anything_due(Nanos now) const; // if false, `due` changes nothing
--- a/core/interface.hpp
+++ b/core/interface.hpp
@@ -72,7 +72,9 @@
   virtual void due(Nanos now) = 0; // runs timers that have expired and drops expired state
   // At the end of a turn: answers retries whose original has ended.
   virtual void answer_repeats(Nanos now) = 0;
-  virtual void drain(Nanos now) = 0;
+  // The process was told to stop. It may have been stopped in between, so the notice came at any time from
+  // `not_before` on.
+  virtual void drain(Nanos now, Nanos not_before) = 0;
   // Replaces the pools (setting names as in pools/pools.hpp; without any, pools are off). Throws
   // std::invalid_argument for invalid settings, in which case nothing has changed.
   virtual void set_pools(Nanos now, const Settings& pools) = 0;
--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -599,7 +599,7 @@
     } else if (one.what == "slow") {
       node.slowed = begins ? one.figure : 1;
     } else if (one.what == "drain" && begins && node.up) {
-      node.tell(now, [&](Nanos t) { node.rules.drain_started(t), node.told->drain(t); });
+      node.tell(now, [&](Nanos t) { node.rules.drain_started(t), node.told->drain(t, t); });
     }
     if (node.up) node.arm(now);
   }
--- a/emulator/plain.hpp
+++ b/emulator/plain.hpp
@@ -36,7 +36,7 @@
   void call_finished(Nanos now, OpId id, Outcome outcome, Content reply) override;
   void due(Nanos now) override;
   void answer_repeats(Nanos) override {}
-  void drain(Nanos) override { leaving_ = true; }
+  void drain(Nanos, Nanos) override { leaving_ = true; }
   void set_pools(Nanos, const Settings&) override {}
 
   Nanos next_wake() const { return dues_.empty() ? -1 : dues_.begin()->first; }
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -87,6 +87,7 @@
       records_(io_, text(settings, "records", ""),
                scaled_limit(settings, "sockets", 1, calls_socket_divisor)),
       announce_(io_, text(settings, "announce", ""), text(settings, "name", "")), recorder_(*this) {
+  last_turn_began_at_ = turn_began_at_ = now();
   core_.reset(new Core(now(), settings, recorder_));
   recorder_.bind(*core_);
   apply_operator_settings(operator_settings);
@@ -202,6 +203,8 @@
   interpreter_.flush();
   if (member_) member_->turn();
   arm_timer();
+  last_turn_began_at_ = turn_began_at_;
+  turn_began_at_ = now();
 }
 
 // Requests the gauges `gauges_lead_` before the wake-up that uses them, so that they normally arrive in time.
@@ -227,7 +230,7 @@
 
 void Host::stop() {
   if (member_) member_->leave(); // other members can take over its leases at once
-  recorder_.drain(now());
+  recorder_.drain(now(), last_turn_began_at_);
 }
 
 // ---- events from the sockets
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -266,7 +266,7 @@
     } else if (name == "LAME_DUCK") {
       required_field<std::int64_t>(f, "patience_left_ns");
       const Nanos left = duration_field(f, "patience_left_ns");
-      deliver([&] { decision_module.drain(now_, left); });
+      deliver([&] { decision_module.drain(now_, now_, left); });
     }
   }
 
--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -1237,9 +1237,10 @@
 // The stored health turns bad at once. Ops are served until the shutdown delay ends: at the end of the
 // grace period, or earlier if a run would not end before the kill otherwise. Every op that was read is
 // answered before the kill. If the process was paused, the notice may have come at any time during the pause,
-// so the times are counted from its beginning.
-void DecisionModule::drain(Nanos now, Nanos until_kill) {
-  const Nanos noticed = now - now_ > process_pause_threshold ? now_ : now;
+// so the times are counted from its beginning, whatever else was handled since.
+void DecisionModule::drain(Nanos now, Nanos not_before, Nanos until_kill) {
+  const Nanos earliest = std::min(not_before, now_);
+  const Nanos noticed = now - earliest > process_pause_threshold ? earliest : now;
   advance_clock(now);
   if (drain_started_at_ >= 0) return;
   drain_started_at_ = now;
--- a/src/decision_module.hpp
+++ b/src/decision_module.hpp
@@ -129,8 +129,8 @@
   void call_ended(Nanos now, OpId id, Outcome outcome, Nanos elapsed);
   // A requested wake-up. `gauges` are in the order of the settings.
   void woken(Nanos now, WakeId id, std::span<const double> gauges);
-  // The server was told that it will be stopped after `until_kill`.
-  void drain(Nanos now, Nanos until_kill);
+  // The server was told, at `not_before` at the earliest, that it will be stopped `until_kill` later.
+  void drain(Nanos now, Nanos not_before, Nanos until_kill);
   // The machine started `since` ago. Without this event it is assumed to have started with this object.
   void machine_up(Nanos now, Nanos since);
 
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -185,7 +185,7 @@
   void call_ended(unsigned id, Outcome outcome = Outcome::done, Nanos elapsed = 50) {
     module_->call_ended(now_, OpId{id}, outcome, elapsed * ms);
   }
-  void drain(Nanos left) { module_->drain(now_, left * ms); }
+  void drain(Nanos left) { module_->drain(now_, now_, left * ms); }
 };
 
 // While an object of this class exists, only descriptors that are closed meanwhile are free.
--- a/tests/recorded.cpp
+++ b/tests/recorded.cpp
@@ -97,7 +97,7 @@
     s.link();
     for (std::uint64_t id = 1; id < 30; ++id) s.came(id, id % 2, "m" + std::to_string(id));
     s.pass(50 * ms);
-    s.recorder.drain(s.now);
+    s.recorder.drain(s.now, s.now);
     s.pass(1500 * ms);
     s.prints = true;
     s.came(99);
@@ -106,6 +106,21 @@
                 s.core->all_answered());
     say_replay(replayed(s.files("leave")));
   }
+  {
+    say("the notice came within a pause of 500 ms, and an op was read first: the delay counts from the "
+        "pause");
+    RecordedCore s;
+    s.record();
+    s.link();
+    s.pass(500 * ms);
+    s.came(1);
+    s.recorder.drain(s.now, s.now - 500 * ms);
+    s.pass(700 * ms);
+    s.prints = true;
+    s.came(2);
+    s.pass(1500 * ms);
+    say_replay(replayed(s.files("leave_late")));
+  }
   {
     say("begun in the middle of a keyed op's run: its repeat after the beginning has the result of the run "
         "before it");
--- a/tests/recorded_seeds.cpp
+++ b/tests/recorded_seeds.cpp
@@ -48,7 +48,7 @@
     }
     if (i == ops / 3 && seed % 4 == 1) s.recorder.set_pools(s.now, pools), s.turn(); // by reload, under load
     if (i == ops * 4 / 5 && seed % 6 == 0) s.recorder.set_pools(s.now, {}), s.turn();
-    if (i == ops * 3 / 4 && chance.unit() < 0.3) s.recorder.drain(s.now), s.turn();
+    if (i == ops * 3 / 4 && chance.unit() < 0.3) s.recorder.drain(s.now, s.now), s.turn();
     s.pass(static_cast<Nanos>(-std::log(1 - chance.unit()) / rate * 1e9));
   }
   s.pass(3 * second);
