A pause of the process takes up no time that a connection has to end or a frame to arrive

Callers saw: a connection that was told to go away has 500 ms to end, but if the process was paused for 490 ms in that time, it was closed as the process went on, and a request that crossed was dropped unread. A request written over 1.2 s with a pause in it was refused with an error.

Cause: the delays of connections were measured by the time of day, in which a pause counts, though nothing is read or written then.

Change: RunningTime leaves pauses out: a gap of over 100 ms between two readings, of which each turn makes one, counts as 100 ms. Front gets that time. Ops, keys, the drain's delay and the kill go by the time of day as before. Drawback: a process whose peers never end their connections ends later by the pauses after its last go_away.

--- a/core/interface.hpp
+++ b/core/interface.hpp
@@ -72,8 +72,8 @@
   virtual void due(Nanos now) = 0; // runs timers that have expired and drops expired state
   // At the end of a turn: answers retries whose original has ended.
   virtual void answer_repeats(Nanos now) = 0;
-  // The process was told to stop. It may have been stopped in between, so the notice came at any time from
-  // `not_before` on.
+  // The drain notice. The process may have been paused when it came, so it came at any time from `not_before`
+  // on.
   virtual void drain(Nanos now, Nanos not_before) = 0;
   // Replaces the pools (setting names as in pools/pools.hpp; without any, pools are off). Throws
   // std::invalid_argument for invalid settings, in which case nothing has changed.
--- a/node/clock.hpp
+++ b/node/clock.hpp
@@ -4,12 +4,13 @@
 
 #include "ids.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
 namespace cometshift {
 
-// Monotonic Unix time. Each reading reads the system clock: the process may be stopped at any point, so an
+// Monotonic Unix time. Each reading reads the system clock: the process may be paused at any point, so an
 // earlier reading may be long past, and what is read from a socket after it may be newer than it.
 class Clock {
   std::function<Nanos()> system_time_;
@@ -30,4 +31,25 @@
   Nanos from_system(Nanos system_time) const { return system_time + offset_; }
 };
 
+// Time in which the process was running, for time-outs that a pause of the process must not shorten. It is
+// read at least every `longest_step`; a longer gap between two readings is a pause, and counts as
+// `longest_step`.
+class RunningTime {
+  Clock& clock_;
+  Nanos longest_step_;
+  Nanos last_reading_;
+  Nanos uncounted_ = 0; // of all pauses so far
+
+ public:
+  RunningTime(Clock& clock, Nanos longest_step)
+      : clock_(clock), longest_step_(longest_step), last_reading_(clock.now()) {}
+
+  Nanos now() {
+    const Nanos reading = clock_.now();
+    uncounted_ += std::max<Nanos>(0, reading - last_reading_ - longest_step_);
+    last_reading_ = reading;
+    return reading - uncounted_;
+  }
+};
+
 } // namespace cometshift
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -45,7 +45,7 @@
 
   // Listens on the address `listen`; throws std::invalid_argument if that fails. While the unwritten output
   // of all connections exceeds `max_pending_bytes`, those with the most of it are closed. `clock` is read for
-  // each event of a connection.
+  // each event of a connection and at each flush().
   Front(asio::io_context& io, const std::string& listen, std::size_t max_connections,
         std::size_t max_pending_bytes, Names names, Clock& clock, Handler& handler);
 
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -26,6 +26,9 @@
 // margin.
 constexpr std::size_t min_own_sockets = 24;
 
+// Several times the interval of the core's wake-ups: a longer gap between two turns is a pause.
+constexpr Nanos longest_turn = 100 * ms;
+
 constexpr int handlers_per_turn = 128; // take a few milliseconds at most if each reads from a connection
 
 constexpr Nanos max_gauges_lead = 5 * ms; // gauges requested earlier would be stale at the wake-up
@@ -79,9 +82,10 @@
            std::string operator_path)
     : stop_signals_(io_), sighup_(io_), sigusr1_(io_),
       config_path_(catch_sighup(sighup_, std::move(config_path))), operator_path_(std::move(operator_path)),
-      timer_(io_), names_(names_from(settings)), clock_(unix_time),
+      timer_(io_), names_(names_from(settings)), clock_(unix_time), running_time_(clock_, longest_turn),
       front_(io_, text(settings, "listen", ""), max_connections(settings),
-             scaled_limit(settings, "memory_mb", mb, answers_memory_divisor), names_, clock_, *this),
+             scaled_limit(settings, "memory_mb", mb, answers_memory_divisor), names_, connection_clock_,
+             *this),
       interpreter_(io_, text(settings, "vm", ""),
                    scaled_limit(settings, "memory_mb", mb, link_memory_divisor), *this),
       records_(io_, text(settings, "records", ""),
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -104,6 +104,8 @@
   Nanos gauges_requested_for_ = 0; // the wake-up that the gauges were requested for
   Nanos gauges_lead_ = 1'000'000;  // how long before the wake-up: a round trip and a margin
   Clock clock_;
+  RunningTime running_time_;
+  Clock connection_clock_{[this] { return running_time_.now(); }};
   // Signals are looked for in every turn, so one that is handled now came after the last turn had begun.
   Nanos turn_began_at_ = 0;
   Nanos last_turn_began_at_ = 0;
--- a/src/decision_module.hpp
+++ b/src/decision_module.hpp
@@ -129,7 +129,7 @@
   void call_ended(Nanos now, OpId id, Outcome outcome, Nanos elapsed);
   // A requested wake-up. `gauges` are in the order of the settings.
   void woken(Nanos now, WakeId id, std::span<const double> gauges);
-  // The server was told, at `not_before` at the earliest, that it will be stopped `until_kill` later.
+  // The server was told, at `not_before` at the earliest, that it will be killed `until_kill` later.
   void drain(Nanos now, Nanos not_before, Nanos until_kill);
   // The machine started `since` ago. Without this event it is assumed to have started with this object.
   void machine_up(Nanos now, Nanos since);
--- a/tests/clock.cpp
+++ b/tests/clock.cpp
@@ -21,6 +21,16 @@
   system += 60 * second, turn("set forward by a minute");
   system -= 60 * second, turn("and back again");
 
+  say("time in which the process ran, read each 20 ms: of a pause of 490 ms, 100 ms count");
+  RunningTime running(clock, 100 * ms);
+  const Nanos begin = running.now();
+  const auto step = [&](Nanos time) {
+    system += time;
+    std::printf("  %lld ms later: %lld ms\n", static_cast<long long>(time / ms),
+                static_cast<long long>((running.now() - begin) / ms));
+  };
+  step(20 * ms), step(490 * ms), step(20 * ms), step(100 * ms);
+
   say("a recording while the clock is set back: its times never decrease, and it replays");
   RecordedCore s;
   s.record();
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -146,6 +146,32 @@
     print_to_end(peer, 3);
   }
 
+  say("told to go away long after the last turn, as after a pause: it has all of the drain delay");
+  {
+    Fixture b;
+    TestConnection peer = b.answered();
+    b.now += 490 * ms;
+    b.front.stop_accepting();
+    b.turn();
+    b.pass(second / 4);
+    std::printf("  %zu connections after half of it\n", b.front.connections());
+    b.pass(second / 4);
+    std::printf("  %zu connections at its end\n", b.front.connections());
+  }
+
+  say("accepted long after the last turn: its first frame has all of its time");
+  {
+    Fixture b;
+    b.turn();
+    b.now += 490 * ms;
+    TestConnection peer = TestConnection::to(5050);
+    peer.say(request.substr(0, 40));
+    b.pass(5 * second / 4);
+    peer.say(request.substr(40));
+    TestConnection::until("op", [&] { return b.handler.streams.size() == 1; });
+    std::printf("  %zu connections\n", b.front.connections());
+  }
+
   say("evicted to make room: later input is discarded, the room is available at once");
   {
     Fixture b;
--- a/tests/paused_connections.cpp
+++ b/tests/paused_connections.cpp
@@ -1,6 +1,6 @@
 // Guards against times of connections that were taken before the process was stopped: a connection was
 // then closed soon after go_away, and requests that were on their way were dropped unread; a new connection
-// had less time for its first request.
+// had less time for its first request. Guards also against a pause that takes up such times.
 #include "server_fixture.hpp"
 
 #include <thread>
@@ -21,6 +21,13 @@
 // Neither the loop nor its peers do anything.
 void stand_still(std::chrono::milliseconds time) { std::this_thread::sleep_for(time); }
 
+// Of a balancer that has been told to send no more, but sent a request before it read that.
+void print_crossing_request(ServerFixture& server) {
+  std::printf("  it has ended: %s\n", server.balancer.ended() ? "yes" : "no");
+  server.balancer.send_without_turn(ServerFixture::request(1, "aaaaaaaaaaaaaaa1"));
+  std::printf("  a request that crosses: %s\n", server.balancer.frame().c_str());
+}
+
 } // namespace
 
 int main() {
@@ -35,9 +42,32 @@
     server.host->poll();
     std::printf("  balancer: %s\n", server.balancer.frame().c_str());
     serve_for(server, std::chrono::milliseconds(250)); // of connection_drain_delay, 500 ms
-    std::printf("  it has ended: %s\n", server.balancer.ended() ? "yes" : "no");
-    server.balancer.send_without_turn(ServerFixture::request(1, "aaaaaaaaaaaaaaa1"));
-    std::printf("  a request that crosses: %s\n", server.balancer.frame().c_str());
+    print_crossing_request(server);
+  }
+  {
+    say("the process is stopped after connections were told: they have as much time to end while it runs");
+    ServerFixture server("4000");
+    server.link_up();
+    server.host->stop();
+    std::printf("  balancer: %s\n", server.balancer.frame().c_str());
+    serve_for(server, std::chrono::milliseconds(100));
+    stand_still(pause_time);
+    serve_for(server, std::chrono::milliseconds(150)); // of connection_drain_delay, 500 ms
+    print_crossing_request(server);
+  }
+  {
+    say("the process is stopped within a request that is written slowly: its rest is awaited");
+    ServerFixture server("4000");
+    server.link_up();
+    const std::string request = ServerFixture::request(1, "ddddddddddddddd1");
+    server.balancer.say(request.substr(0, 40));
+    serve_for(server, std::chrono::milliseconds(900));
+    stand_still(pause_time);
+    serve_for(server, std::chrono::milliseconds(300)); // 1200 ms of frame_timeout, 1500 ms
+    server.balancer.say(request.substr(40));
+    std::printf("  link: %s\n", server.command().c_str());
+    server.notice(1, "VALUE", "ddddddddddddddd1", result_fields);
+    std::printf("  balancer: %s\n", server.balancer.frame().c_str());
   }
   {
     say("a connection made as the process goes on: its first request may take as long as any other");
