--- a/node/front.cpp
+++ b/node/front.cpp
@@ -95,6 +95,7 @@
       continue;
     }
     if (error) break;
+    ++accepted_;
     if (connections_.size() >= max_connections_ && !evict_one()) {
       log_info("accept", "connection table full, new connection closed");
       continue; // nothing was read from it, so no op of it has run
@@ -234,11 +235,15 @@
 void Front::stop_accepting() {
   if (stopped_accepting_) return;
   stopped_accepting_ = true;
+  log_info("drain", "the listener closes, pending connections are accepted first");
+  const std::uint64_t accepted_before = accepted_;
   // Closing the listener resets connections that are not accepted yet, and callers may have written to them.
   while (!accept_pending(accepts_per_turn)) {
   }
   asio::error_code ignored;
   acceptor_.close(ignored);
+  log_info("drain", "the listener is closed, %llu connections were pending",
+           static_cast<unsigned long long>(accepted_ - accepted_before));
   accept_retry_timer_.cancel();
   for (auto& [id, c] : connections_) send_go_away(*c);
 }
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -87,6 +87,8 @@
   void flush();
 
   std::size_t connections() const { return connections_.size(); }
+  // Connections accepted so far, those that were closed for lack of room included.
+  std::uint64_t accepted() const { return accepted_; }
   // Output that the peers have not taken yet, over all connections.
   std::size_t pending_bytes() const { return pending_bytes_; }
 
@@ -166,6 +168,7 @@
   std::uint64_t next_lingering_ = 1;
   std::vector<ConnectionId> dirty_; // have output that the next flush() is to write
   std::uint64_t next_connection_ = 1;
+  std::uint64_t accepted_ = 0;
   std::size_t pending_bytes_ = 0; // unwritten output of all connections
   Nanos timeouts_checked_at_ = 0;
   Nanos idle_timeout_ = 0; // 0: no limit
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -119,15 +119,28 @@
   finish_turn();
   while (!finished()) {
     io_.run_one();
-    run_ready_handlers();
+    const Nanos began_at = now();
+    const std::uint64_t accepted_before = front_.accepted();
+    const int handlers = run_ready_handlers();
     finish_turn();
+    log_long_turn(began_at, handlers, front_.accepted() - accepted_before);
   }
   recorder_.end(now());
 }
 
 // The number of handlers is bounded, so that peers that send without end can't delay the core's wake-ups.
-void Host::run_ready_handlers() {
-  for (int n = 0; n < handlers_per_turn && io_.poll_one() > 0;) ++n;
+int Host::run_ready_handlers() {
+  int count = 0;
+  while (count < handlers_per_turn && io_.poll_one() > 0) ++count;
+  return count;
+}
+
+// Shows what delayed everything else; a process that was paused shows a long turn with few events.
+void Host::log_long_turn(Nanos began_at, int handlers, std::uint64_t accepted) {
+  const Nanos took = now() - began_at;
+  if (took >= longest_turn)
+    log_info("loop", "a turn took %lld ms: %d events, %llu new connections",
+             static_cast<long long>(took / ms), handlers, static_cast<unsigned long long>(accepted));
 }
 
 void Host::wait_for_sighup() {
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -73,8 +73,9 @@
 
   // Read anew for each event, after its input was read.
   Nanos now();
-  void run_ready_handlers();
+  int run_ready_handlers(); // returns how many ran
   void finish_turn();
+  void log_long_turn(Nanos began_at, int handlers, std::uint64_t accepted);
   void request_gauges();
   void arm_timer();
   void confirm_read(std::uint64_t query);
