The listener closes after what the backlog holds, whatever connects meanwhile

Cause: Front::stop_accepting() accepted until accept() found nothing, within one turn. With the table full each accept evicts a connection, whose client comes again at once.

Change: after as many connections as the backlog holds, 64 in a turn between the other events, the listener closes. The kernel hands them out in order, so each that was pending at the grace's end is accepted; its request is read and it is told to go away.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -5,6 +5,8 @@
 #include "hex.hpp"
 #include "log.hpp"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <span>
@@ -23,6 +25,9 @@
 constexpr std::size_t max_write_pieces = 32;      // buffers per gathered write
 constexpr std::size_t min_piece_bytes = 4 * 1024; // smaller pieces of output are merged
 constexpr int reads_per_turn = 4;                 // per connection, so that others are not starved
+// Of the listener: connections that the kernel has completed and accept() has not returned yet. The kernel
+// keeps one more.
+constexpr int listen_backlog = asio::socket_base::max_listen_connections;
 constexpr int accepts_per_turn = 64;          // a flood of new connections must not starve the existing ones
 constexpr std::size_t lingering_divisor = 24; // this part of max_connections may linger in addition
 constexpr const char* fields_overrun = "fields overrun the payload";
@@ -41,7 +46,7 @@
     // Connections of an earlier process may still be in TIME_WAIT.
     acceptor_.set_option(asio::socket_base::reuse_address(true));
     acceptor_.bind(at);
-    acceptor_.listen();
+    acceptor_.listen(listen_backlog);
     acceptor_.non_blocking(true);
     // An accept whose connection was aborted meanwhile returns that error instead of blocking for the next
     // one.
@@ -84,10 +89,11 @@
   return false;
 }
 
-// Accepts pending connections. Returns the error that ended the loop, or none after `most` connections.
-asio::error_code Front::accept_pending(int most) {
-  asio::error_code error;
-  while (most-- > 0) {
+// Accepts up to `most` pending connections. Returns how many are no longer pending, and the error that ended
+// the loop, if one did.
+int Front::accept_pending(int most, asio::error_code& error) {
+  int count = 0;
+  for (; count < most; ++count) {
     asio::ip::tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error == asio::error::connection_aborted) { // others may still be pending
@@ -100,25 +106,34 @@
       log_info("accept", "connection table full, new connection closed");
       continue; // nothing was read from it, so no op of it has run
     }
-    asio::error_code ignored;
-    socket.non_blocking(true, ignored);
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const ConnectionId id{next_connection_++};
-    Connection& c =
-        *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
-    c.last_activity = c.frame_began = clock_.now();
-    on_readable(c);
+    add_connection(std::move(socket));
   }
-  return error;
+  return count;
+}
+
+void Front::add_connection(asio::ip::tcp::socket socket) {
+  asio::error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  const ConnectionId id{next_connection_++};
+  Connection& c =
+      *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
+  c.last_activity = c.frame_began = clock_.now();
+  on_readable(c);
+  if (listener_ == Listener::open) return;
+  const auto at = connections_.find(id);
+  if (at == connections_.end()) return;
+  send_go_away(*at->second);
+  write_output(*at->second); // a connection with pending output can't be evicted for the next one
 }
 
 void Front::accept() {
-  if (accepting_ || stopped_accepting_) return;
+  if (accepting_ || listener_ != Listener::open) return;
   accepting_ = true;
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
     accepting_ = false;
-    if (stopped_accepting_) return;
-    if (!error) error = accept_pending(accepts_per_turn);
+    if (listener_ != Listener::open) return;
+    if (!error) accept_pending(accepts_per_turn, error);
     if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
       return accept();
     // Without the delay the loop would spin while no descriptor is free. The oldest lingering connection is
@@ -232,20 +247,37 @@
   enqueue(c, [](std::string& output) { frames::put_go_away(output); });
 }
 
+// Closing the listener resets connections that are not accepted yet, and callers may have written to them.
+// Pending connections are accepted in the order in which they came, so those that were pending at the first
+// call are accepted once as many are as the backlog holds. Waiting for an empty backlog instead would never
+// end while clients connect faster than they are accepted.
 void Front::stop_accepting() {
-  if (stopped_accepting_) return;
-  stopped_accepting_ = true;
-  log_info("drain", "the listener closes, pending connections are accepted first");
-  const std::uint64_t accepted_before = accepted_;
-  // Closing the listener resets connections that are not accepted yet, and callers may have written to them.
-  while (!accept_pending(accepts_per_turn)) {
+  if (listener_ == Listener::closed) return;
+  const bool first_call = listener_ == Listener::open;
+  if (first_call) {
+    log_info("drain", "the listener closes, after the connections that are pending");
+    listener_ = Listener::closing;
+    accepts_before_close_ = listen_backlog + 1;
+    accept_retry_timer_.cancel();
   }
+  accept_before_close();
+  if (!first_call) return;
+  for (auto& [id, c] : connections_) send_go_away(*c);
+}
+
+void Front::accept_before_close() {
+  asio::error_code error;
+  accepts_before_close_ -= accept_pending(std::min(accepts_per_turn, accepts_before_close_), error);
+  if (error || accepts_before_close_ == 0) return close_listener();
+  asio::post(io_, [] {}); // the next turn follows at once
+}
+
+void Front::close_listener() {
+  listener_ = Listener::closed;
   asio::error_code ignored;
   acceptor_.close(ignored);
-  log_info("drain", "the listener is closed, %llu connections were pending",
-           static_cast<unsigned long long>(accepted_ - accepted_before));
-  accept_retry_timer_.cancel();
-  for (auto& [id, c] : connections_) send_go_away(*c);
+  log_info("drain", "the listener is closed, %d connections were accepted first",
+           listen_backlog + 1 - accepts_before_close_);
 }
 
 // ---- input
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -79,10 +79,11 @@
   void connection_drain_delay(Nanos time) { drain_delay_ = time; }
   // Delay after a failed accept, such as when no descriptor is free.
   void accept_retry_delay(Nanos delay) { accept_retry_delay_ = delay; }
-  // Closes the listener, after accepting what is pending, and sends go_away on all connections.
+  // Accepts the connections that are pending, some with each call, then closes the listener. Sends go_away on
+  // all connections. Called once in each turn from the first call on.
   void stop_accepting();
   // No longer accepting, and every connection has ended.
-  bool closed() const { return stopped_accepting_ && connections_.empty() && lingering_.empty(); }
+  bool closed() const { return listener_ == Listener::closed && connections_.empty() && lingering_.empty(); }
   // Ends a turn: checks timeouts and writes the pending output of each connection.
   void flush();
 
@@ -130,8 +131,17 @@
     Nanos since;
   };
 
+  enum class Listener {
+    open,
+    closing, // only connections that were pending at the first call of stop_accepting() are accepted
+    closed
+  };
+
   void accept();
-  asio::error_code accept_pending(int most);
+  int accept_pending(int most, asio::error_code& error);
+  void add_connection(asio::ip::tcp::socket socket);
+  void accept_before_close();
+  void close_listener();
   bool evict_one();
   bool is_idle(const Connection& c) const;
   void wait_readable(Connection& c);
@@ -182,7 +192,8 @@
   double feedback_ = -1;
   bool healthy_ = true;
   bool accepting_ = false; // an asynchronous wait for new connections is in progress
-  bool stopped_accepting_ = false;
+  Listener listener_ = Listener::open;
+  int accepts_before_close_ = 0; // while closing: how many connections are still to be accepted
 };
 
 } // namespace cometshift
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -299,12 +299,12 @@
         return;
     turn();
   }
-  void reset() {
+  void reset_without_turn() {
     const linger at_once{1, 0};
     setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     close(std::exchange(fd_, -1));
-    turn();
   }
+  void reset() { reset_without_turn(), turn(); }
   void set_small_window() { // receives as little at a time as possible
     const int least = 1;
     setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &least, sizeof least);
