A failed accept as the listener closes is retried, so pending requests aren't reset

Callers saw: a reset of a connection that they had written a request to, if the server had no free descriptor as its drain's grace ended.

Cause: Front::stop_accepting() took each error of accept() for an empty backlog.

Evidence: the test's log has "Too many open files" and "the listener is closed" in the same millisecond; with a free descriptor the same requests are read (test endings).

Change: such an error is retried after the usual delay while a connection is left that could free a descriptor, and for the drain delay in any case; then the listener closes.

Test: drain_descriptors; before, 0 of 3 pending requests were read and all three were reset. Measured: it passes, with the other tests of connections and drains.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -136,14 +136,21 @@
     if (!error) accept_pending(accepts_per_turn, error);
     if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
       return accept();
-    // Without the delay the loop would spin while no descriptor is free. The oldest lingering connection is
-    // closed to free one.
-    log_info("accept", "%s", error.message().c_str());
-    if (!lingering_.empty()) lingering_.erase(lingering_.begin());
-    accept_retry_timer_.expires_after(std::chrono::nanoseconds(accept_retry_delay_));
-    accept_retry_timer_.async_wait([this](asio::error_code stopped) {
-      if (!stopped) accept();
-    });
+    retry_accept(error);
+  });
+}
+
+// Without the delay the loop would spin while no descriptor is free. The oldest lingering connection is
+// closed to free one.
+void Front::retry_accept(asio::error_code error) {
+  log_info("accept", "%s", error.message().c_str());
+  if (!lingering_.empty()) lingering_.erase(lingering_.begin());
+  accept_retry_pending_ = true;
+  accept_retry_timer_.expires_after(std::chrono::nanoseconds(accept_retry_delay_));
+  accept_retry_timer_.async_wait([this](asio::error_code stopped) {
+    if (stopped) return;
+    accept_retry_pending_ = false;
+    accept();
   });
 }
 
@@ -258,7 +265,9 @@
     log_info("drain", "the listener closes, after the connections that are pending");
     listener_ = Listener::closing;
     accepts_before_close_ = listen_backlog + 1;
+    closing_since_ = clock_.now();
     accept_retry_timer_.cancel();
+    accept_retry_pending_ = false;
   }
   accept_before_close();
   if (!first_call) return;
@@ -266,12 +275,19 @@
 }
 
 void Front::accept_before_close() {
+  if (accept_retry_pending_) return;
   asio::error_code error;
   accepts_before_close_ -= accept_pending(std::min(accepts_per_turn, accepts_before_close_), error);
-  if (error || accepts_before_close_ == 0) return close_listener();
+  if (error == asio::error::would_block || accepts_before_close_ == 0) return close_listener();
+  if (error) return descriptor_may_become_free() ? retry_accept(error) : close_listener();
   asio::post(io_, [] {}); // the next turn follows at once
 }
 
+// While connections are left, as each of them ends; and for a while in any case, as calls end too.
+bool Front::descriptor_may_become_free() const {
+  return !connections_.empty() || !lingering_.empty() || clock_.now() - closing_since_ < drain_delay_;
+}
+
 void Front::close_listener() {
   listener_ = Listener::closed;
   asio::error_code ignored;
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -140,7 +140,9 @@
   void accept();
   int accept_pending(int most, asio::error_code& error);
   void add_connection(asio::ip::tcp::socket socket);
+  void retry_accept(asio::error_code error);
   void accept_before_close();
+  bool descriptor_may_become_free() const;
   void close_listener();
   bool evict_one();
   bool is_idle(const Connection& c) const;
@@ -193,7 +195,9 @@
   bool healthy_ = true;
   bool accepting_ = false; // an asynchronous wait for new connections is in progress
   Listener listener_ = Listener::open;
-  int accepts_before_close_ = 0; // while closing: how many connections are still to be accepted
+  Nanos closing_since_ = 0;           // valid while closing
+  bool accept_retry_pending_ = false; // the delay after a failed accept is not over
+  int accepts_before_close_ = 0;      // while closing: how many connections are still to be accepted
 };
 
 } // namespace cometshift
