A member's fleet listener accepts four connections an event, not until none is left

Operators would see: a member of a fleet that handles nothing while clients reconnect to its fleet address faster than it accepts, and whose peers lose each new connection.

Cause: Links::accept_all() accepted until accept() found nothing. Over its bound each accept closes the connection that was idle longest, before anything of it was read.

Evidence: by reading, as the same cause was found in Front; the test shows that nothing but the end of its clients ends the loop. With few clients the hello is read (links).

Change: four accepts an event, half of the spare connections, so that a hello that came with its connection is read before later connections can evict it.

Test: links_flood; before, more than four accepts in an event and no message of the member; after, its message arrives, five runs on one core. The fleet's tests pass.

--- a/peers/links.cpp
+++ b/peers/links.cpp
@@ -13,6 +13,8 @@
 
 // Beyond two for each member, of which one may be closing while its replacement is accepted.
 constexpr std::size_t spare_incoming = 8;
+// Few enough that the hello of a connection is read before later connections can evict it.
+constexpr std::size_t accepts_per_event = spare_incoming / 2;
 constexpr std::chrono::seconds hello_timeout{2};
 constexpr std::chrono::milliseconds accept_retry_delay{100}; // when no file descriptor is free
 constexpr std::size_t max_read_bytes = 16 * 1024; // for each turn of a connection, so that others get theirs
@@ -73,8 +75,8 @@
 
 // ---- incoming connections
 
-void Links::accept_all() {
-  for (;;) {
+void Links::accept_pending() {
+  for (std::size_t count = 0; count < accepts_per_event; ++count) {
     asio::error_code error;
     Tcp::socket socket(io_);
     acceptor_.accept(socket, error);
@@ -101,11 +103,12 @@
     });
     read(incoming);
   }
+  accept();
 }
 
 void Links::accept() {
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
-    if (!error && !closed_) accept_all();
+    if (!error && !closed_) accept_pending();
   });
 }
 
--- a/peers/links.hpp
+++ b/peers/links.hpp
@@ -81,7 +81,7 @@
   using OutgoingPtr = std::shared_ptr<Outgoing>;
 
   void accept();
-  void accept_all();
+  void accept_pending();
   void read(const std::shared_ptr<Incoming>& incoming);
   void close_incoming(const std::shared_ptr<Incoming>& incoming, const char* reason);
   void evict_oldest();
