A turn of the event loop accepts 64 connections in all, not with each event

Callers saw: nothing that was reported. docs/on-call.md promises 64 new connections a turn, and whatever waits for the end of a turn waited for more.

Cause: Front::accept() waited again right after its 64, and the wait ended at once, so one turn could accept 64 with each of its 128 events.

Evidence: accepts counted over turns whose backlog is never empty: 128 in one turn.

Change: the wait for new connections begins again as the turn ends.

Test: accept_flood; before, "at most 64 connections" was "no" (most: 128), after "yes".

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -127,16 +127,16 @@
   write_output(*at->second); // a connection with pending output can't be evicted for the next one
 }
 
+// Waits for new connections. Begins again at the end of each turn, so that a turn accepts once.
 void Front::accept() {
-  if (accepting_ || listener_ != Listener::open) return;
+  if (accepting_ || accept_retry_pending_ || listener_ != Listener::open) return;
   accepting_ = true;
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
     accepting_ = false;
     if (listener_ != Listener::open) return;
     if (!error) accept_pending(accepts_per_turn, error);
-    if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
-      return accept();
-    retry_accept(error);
+    if (error && error != asio::error::would_block && error != asio::error::connection_aborted)
+      retry_accept(error);
   });
 }
 
@@ -582,6 +582,7 @@
 }
 
 void Front::flush() {
+  accept();
   const Nanos now = clock_.now();
   if (now - timeouts_checked_at_ >= drain_delay_ / 8) {
     timeouts_checked_at_ = now;
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -84,7 +84,8 @@
   void stop_accepting();
   // No longer accepting, and every connection has ended.
   bool closed() const { return listener_ == Listener::closed && connections_.empty() && lingering_.empty(); }
-  // Ends a turn: checks timeouts and writes the pending output of each connection.
+  // Ends a turn: waits for new connections again, checks timeouts and writes the pending output of each
+  // connection.
   void flush();
 
   std::size_t connections() const { return connections_.size(); }
