The listening socket has a class of its own; Front keeps the connections

Change: node/listener accepts, retries and closes; Front takes the sockets, frees a descriptor and says whether one may become free. No change of behaviour but one: after the retry's delay the wait begins as that turn ends, not within it.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -1,12 +1,9 @@
 #include "front.hpp"
 
-#include "address.hpp"
 #include "frames.hpp"
 #include "hex.hpp"
 #include "log.hpp"
 
-#include <asio/post.hpp>
-
 #include <algorithm>
 #include <array>
 #include <span>
@@ -25,11 +22,7 @@
 constexpr std::size_t max_write_pieces = 32;      // buffers per gathered write
 constexpr std::size_t min_piece_bytes = 4 * 1024; // smaller pieces of output are merged
 constexpr int reads_per_turn = 4;                 // per connection, so that others are not starved
-// Of the listener: connections that the kernel has completed and accept() has not returned yet. The kernel
-// keeps one more.
-constexpr int listen_backlog = asio::socket_base::max_listen_connections;
-constexpr int accepts_per_turn = 64;          // a flood of new connections must not starve the existing ones
-constexpr std::size_t lingering_divisor = 24; // this part of max_connections may linger in addition
+constexpr std::size_t lingering_divisor = 24;     // this part of max_connections may linger in addition
 constexpr const char* fields_overrun = "fields overrun the payload";
 constexpr Nanos ms = 1'000'000;
 constexpr std::int64_t max_time_ms = std::int64_t{1} << 42; // in nanoseconds it still fits 64 bits
@@ -38,24 +31,8 @@
 
 Front::Front(asio::io_context& io, const std::string& listen, std::size_t max_connections,
              std::size_t max_pending_bytes, Names names, Clock& clock, Handler& handler)
-    : io_(io), acceptor_(io), accept_retry_timer_(io), max_connections_(max_connections),
-      max_pending_bytes_(max_pending_bytes), names_(std::move(names)), clock_(clock), handler_(handler) {
-  try {
-    const asio::ip::tcp::endpoint at = require_endpoint(listen);
-    acceptor_.open(at.protocol());
-    // Connections of an earlier process may still be in TIME_WAIT.
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(at);
-    acceptor_.listen(listen_backlog);
-    acceptor_.non_blocking(true);
-    // An accept whose connection was aborted meanwhile returns that error instead of blocking for the next
-    // one.
-    acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
-  } catch (const asio::system_error& e) {
-    throw std::invalid_argument("listen: " + listen + ": " + e.code().message());
-  }
-  accept();
-}
+    : max_connections_(max_connections), max_pending_bytes_(max_pending_bytes), names_(std::move(names)),
+      clock_(clock), handler_(handler), listener_(io, listen, *this) {}
 
 // ---- accepting and closing connections
 
@@ -89,29 +66,11 @@
   return false;
 }
 
-// Accepts up to `most` pending connections. Returns how many are no longer pending, and the error that ended
-// the loop, if one did.
-int Front::accept_pending(int most, asio::error_code& error) {
-  int count = 0;
-  for (; count < most; ++count) {
-    asio::ip::tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error == asio::error::connection_aborted) { // others may still be pending
-      error = {};
-      continue;
-    }
-    if (error) break;
-    ++accepted_;
-    if (connections_.size() >= max_connections_ && !evict_one()) {
-      log_info("accept", "connection table full, new connection closed");
-      continue; // nothing was read from it, so no op of it has run
-    }
-    add_connection(std::move(socket));
+void Front::accepted(asio::ip::tcp::socket socket) {
+  if (connections_.size() >= max_connections_ && !evict_one()) {
+    log_info("accept", "connection table full, new connection closed");
+    return; // nothing was read from it, so no op of it has run
   }
-  return count;
-}
-
-void Front::add_connection(asio::ip::tcp::socket socket) {
   asio::error_code ignored;
   socket.non_blocking(true, ignored);
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -120,38 +79,20 @@
       *connections_.emplace(id, std::make_unique<Connection>(std::move(socket), id)).first->second;
   c.last_activity = c.frame_began = clock_.now();
   on_readable(c);
-  if (listener_ == Listener::open) return;
+  if (!listener_.closing()) return;
   const auto at = connections_.find(id);
   if (at == connections_.end()) return;
   send_go_away(*at->second);
   write_output(*at->second); // a connection with pending output can't be evicted for the next one
 }
 
-// Waits for new connections. Begins again at the end of each turn, so that a turn accepts once.
-void Front::accept() {
-  if (accepting_ || accept_retry_pending_ || listener_ != Listener::open) return;
-  accepting_ = true;
-  acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
-    accepting_ = false;
-    if (listener_ != Listener::open) return;
-    if (!error) accept_pending(accepts_per_turn, error);
-    if (error && error != asio::error::would_block && error != asio::error::connection_aborted)
-      retry_accept(error);
-  });
+void Front::free_descriptor() {
+  if (!lingering_.empty()) lingering_.erase(lingering_.begin());
 }
 
-// Without the delay the loop would spin while no descriptor is free. The oldest lingering connection is
-// closed to free one.
-void Front::retry_accept(asio::error_code error) {
-  log_info("accept", "%s", error.message().c_str());
-  if (!lingering_.empty()) lingering_.erase(lingering_.begin());
-  accept_retry_pending_ = true;
-  accept_retry_timer_.expires_after(std::chrono::nanoseconds(accept_retry_delay_));
-  accept_retry_timer_.async_wait([this](asio::error_code stopped) {
-    if (stopped) return;
-    accept_retry_pending_ = false;
-    accept();
-  });
+// While connections are left, as each of them ends; and for a while in any case, as calls end too.
+bool Front::may_free_descriptor() const {
+  return !connections_.empty() || !lingering_.empty() || clock_.now() - stopped_accepting_at_ < drain_delay_;
 }
 
 // Closes a connection whose output is complete. Lingers unless the peer has already closed its side.
@@ -254,48 +195,14 @@
   enqueue(c, [](std::string& output) { frames::put_go_away(output); });
 }
 
-// Closing the listener resets connections that are not accepted yet, and callers may have written to them.
-// Pending connections are accepted in the order in which they came, so those that were pending at the first
-// call are accepted once as many are as the backlog holds. Waiting for an empty backlog instead would never
-// end while clients connect faster than they are accepted.
 void Front::stop_accepting() {
-  if (listener_ == Listener::closed) return;
-  const bool first_call = listener_ == Listener::open;
-  if (first_call) {
-    log_info("drain", "the listener closes, after the connections that are pending");
-    listener_ = Listener::closing;
-    accepts_before_close_ = listen_backlog + 1;
-    closing_since_ = clock_.now();
-    accept_retry_timer_.cancel();
-    accept_retry_pending_ = false;
-  }
-  accept_before_close();
+  const bool first_call = !listener_.closing();
+  if (first_call) stopped_accepting_at_ = clock_.now();
+  listener_.close_after_pending();
   if (!first_call) return;
   for (auto& [id, c] : connections_) send_go_away(*c);
 }
 
-void Front::accept_before_close() {
-  if (accept_retry_pending_) return;
-  asio::error_code error;
-  accepts_before_close_ -= accept_pending(std::min(accepts_per_turn, accepts_before_close_), error);
-  if (error == asio::error::would_block || accepts_before_close_ == 0) return close_listener();
-  if (error) return descriptor_may_become_free() ? retry_accept(error) : close_listener();
-  asio::post(io_, [] {}); // the next turn follows at once
-}
-
-// While connections are left, as each of them ends; and for a while in any case, as calls end too.
-bool Front::descriptor_may_become_free() const {
-  return !connections_.empty() || !lingering_.empty() || clock_.now() - closing_since_ < drain_delay_;
-}
-
-void Front::close_listener() {
-  listener_ = Listener::closed;
-  asio::error_code ignored;
-  acceptor_.close(ignored);
-  log_info("drain", "the listener is closed, %d connections were accepted first",
-           listen_backlog + 1 - accepts_before_close_);
-}
-
 // ---- input
 
 void Front::wait_readable(Connection& c) {
@@ -582,7 +489,7 @@
 }
 
 void Front::flush() {
-  accept();
+  listener_.end_turn();
   const Nanos now = clock_.now();
   if (now - timeouts_checked_at_ >= drain_delay_ / 8) {
     timeouts_checked_at_ = now;
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -1,13 +1,13 @@
-// The listener and the balancers' connections. Owns both, their input and output buffers, and the set of open
-// streams. The wire protocol is confined to this class: for another protocol only its code changes, and it
-// delivers the same ops.
+// The balancers' connections and their listener. Owns both, their input and output buffers, and the set of
+// open streams. The wire protocol is confined to this class: for another protocol only its code changes, and
+// it delivers the same ops.
 #pragma once
 
 #include "clock.hpp"
 #include "interface.hpp"
+#include "listener.hpp"
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <deque>
 #include <map>
@@ -20,7 +20,7 @@
 namespace cometshift {
 
 // Accepts connections, decodes requests into ops and writes the responses.
-class Front {
+class Front : Listener::Handler {
  public:
   // Receives ops and lost streams. `received_at` is Unix time and `limit` the caller's time limit, both in
   // ns; `held_kb` is the memory and `rank` the rank, in [0, 1), that the request states; `mark` is its
@@ -78,19 +78,19 @@
   // Time between go_away and the close of a connection, and the longest time that a closed one lingers.
   void connection_drain_delay(Nanos time) { drain_delay_ = time; }
   // Delay after a failed accept, such as when no descriptor is free.
-  void accept_retry_delay(Nanos delay) { accept_retry_delay_ = delay; }
+  void accept_retry_delay(Nanos delay) { listener_.set_retry_delay(delay); }
   // Accepts the connections that are pending, some with each call, then closes the listener. Sends go_away on
   // all connections. Called once in each turn from the first call on.
   void stop_accepting();
   // No longer accepting, and every connection has ended.
-  bool closed() const { return listener_ == Listener::closed && connections_.empty() && lingering_.empty(); }
+  bool closed() const { return listener_.closed() && connections_.empty() && lingering_.empty(); }
   // Ends a turn: waits for new connections again, checks timeouts and writes the pending output of each
   // connection.
   void flush();
 
   std::size_t connections() const { return connections_.size(); }
   // Connections accepted so far, those that were closed for lack of room included.
-  std::uint64_t accepted() const { return accepted_; }
+  std::uint64_t accepted_connections() const { return listener_.accepted(); }
   // Output that the peers have not taken yet, over all connections.
   std::size_t pending_bytes() const { return pending_bytes_; }
 
@@ -132,19 +132,11 @@
     Nanos since;
   };
 
-  enum class Listener {
-    open,
-    closing, // only connections that were pending at the first call of stop_accepting() are accepted
-    closed
-  };
+  // Events of the listener
+  void accepted(asio::ip::tcp::socket socket) override;
+  void free_descriptor() override;
+  bool may_free_descriptor() const override;
 
-  void accept();
-  int accept_pending(int most, asio::error_code& error);
-  void add_connection(asio::ip::tcp::socket socket);
-  void retry_accept(asio::error_code error);
-  void accept_before_close();
-  bool descriptor_may_become_free() const;
-  void close_listener();
   bool evict_one();
   bool is_idle(const Connection& c) const;
   void wait_readable(Connection& c);
@@ -168,9 +160,6 @@
   bool refuse_request(Connection& c, StreamId stream, const char* reason); // returns true: go on parsing
   bool may_close(const Connection& c, Nanos now) const;
 
-  asio::io_context& io_;
-  asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer accept_retry_timer_;
   std::size_t max_connections_;
   std::size_t max_pending_bytes_;
   Names names_;
@@ -181,7 +170,6 @@
   std::uint64_t next_lingering_ = 1;
   std::vector<ConnectionId> dirty_; // have output that the next flush() is to write
   std::uint64_t next_connection_ = 1;
-  std::uint64_t accepted_ = 0;
   std::size_t pending_bytes_ = 0; // unwritten output of all connections
   Nanos timeouts_checked_at_ = 0;
   Nanos idle_timeout_ = 0; // 0: no limit
@@ -191,14 +179,10 @@
   Nanos write_stall_timeout_ = 0;
   std::vector<Eviction> eviction_order_;
   int max_invalid_ops_ = 0;
-  Nanos accept_retry_delay_ = 0;
   double feedback_ = -1;
   bool healthy_ = true;
-  bool accepting_ = false; // an asynchronous wait for new connections is in progress
-  Listener listener_ = Listener::open;
-  Nanos closing_since_ = 0;           // valid while closing
-  bool accept_retry_pending_ = false; // the delay after a failed accept is not over
-  int accepts_before_close_ = 0;      // while closing: how many connections are still to be accepted
+  Nanos stopped_accepting_at_ = 0; // valid once the listener is closing
+  Listener listener_;              // calls the handler, so it comes after all that its calls use
 };
 
 } // namespace cometshift
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -120,10 +120,10 @@
   while (!finished()) {
     io_.run_one();
     const Nanos began_at = now();
-    const std::uint64_t accepted_before = front_.accepted();
+    const std::uint64_t accepted_before = front_.accepted_connections();
     const int handlers = run_ready_handlers();
     finish_turn();
-    log_long_turn(began_at, handlers, front_.accepted() - accepted_before);
+    log_long_turn(began_at, handlers, front_.accepted_connections() - accepted_before);
   }
   recorder_.end(now());
 }
