Test: a request behind more silent clients than the table holds, as the listener closes

Need: a connection that is accepted while the listener closes is told to go away; until that is written it can't be evicted, and a full table would close later ones unread. Nothing guarded the write at once in Front::accepted().

Change: a third part of drain_flood. No change of the program.

--- a/tests/drain_flood.cpp
+++ b/tests/drain_flood.cpp
@@ -10,6 +10,7 @@
 
 constexpr Nanos second = 1000 * ms;
 constexpr std::size_t max_connections = 160;
+constexpr std::size_t small_table = 24;
 // The grace is 1 s, as the fixture configures it; its end is noticed within 20 ms.
 constexpr std::chrono::milliseconds just_before_grace_ends{950}, just_after_grace_ended{1030};
 constexpr std::chrono::milliseconds time_to_kill{3200};
@@ -28,6 +29,30 @@
   void stream_lost(StreamRef) override {}
 };
 
+// Silent clients fill a small table within the turn in which the listener closes, before a request is
+// accepted.
+void test_small_table() {
+  std::puts("# more silent clients than the table holds are pending before a request as the listener closes");
+  asio::io_context io;
+  CountingHandler handler;
+  Clock clock{[] { return second; }};
+  Front front{
+      io,     TestConnection::at(5050), small_table, 64 * 1024, {{"look"}, {false}, {"acme"}, true}, clock,
+      handler};
+  front.set_eviction_order({Eviction::no_frame, Eviction::idle, Eviction::newest}, 8);
+  front.connection_drain_delay(second / 2);
+  std::vector<TestConnection> silent;
+  for (std::size_t i = 0; i < 2 * small_table; ++i)
+    silent.push_back(TestConnection::connect_without_turn(5050));
+  TestConnection caller = TestConnection::connect_without_turn(5050);
+  caller.send_without_turn(ask(1, "9b1f03aa5c7e2d41"));
+  front.stop_accepting();
+  std::printf("  %zu request was read\n", handler.streams.size());
+  for (const StreamRef ref : handler.streams) front.refused(ref, 0, false);
+  front.flush();
+  for (int i = 0; i < 2; ++i) std::printf("  %s\n", caller.frame().c_str());
+}
+
 bool listener_is_closed() { return TestConnection::connect_without_turn(5050).refused(); }
 
 void test_listener() {
@@ -132,5 +157,6 @@
 
 int main() {
   test_listener();
+  test_small_table();
   test_server();
 }
