A turn of the event loop handles each socket once, whatever becomes ready meanwhile

Callers saw: nothing that was reported.

Cause: a wait that begins again within a turn can end within it.

Change: a marker queued behind the handlers that are ready ends the batch of a turn, for sockets of every kind. Listener needs no wait at the turn's end any more. The time before which a drain notice can't have come is counted in batches. The line on a long turn is one on a late wake-up now: it needs no clock reading and no count in each turn, and sees the first event of a turn too.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -489,7 +489,6 @@
 }
 
 void Front::flush() {
-  listener_.end_turn();
   const Nanos now = clock_.now();
   if (now - timeouts_checked_at_ >= drain_delay_ / 8) {
     timeouts_checked_at_ = now;
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -84,13 +84,10 @@
   void stop_accepting();
   // No longer accepting, and every connection has ended.
   bool closed() const { return listener_.closed() && connections_.empty() && lingering_.empty(); }
-  // Ends a turn: waits for new connections again, checks timeouts and writes the pending output of each
-  // connection.
+  // Ends a turn: checks timeouts and writes the pending output of each connection.
   void flush();
 
   std::size_t connections() const { return connections_.size(); }
-  // Connections accepted so far, those that were closed for lack of room included.
-  std::uint64_t accepted_connections() const { return listener_.accepted(); }
   // Output that the peers have not taken yet, over all connections.
   std::size_t pending_bytes() const { return pending_bytes_; }
 
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -4,9 +4,12 @@
 #include "log.hpp"
 #include "operator.hpp"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <utility>
 
 namespace cometshift {
 
@@ -91,7 +94,7 @@
       records_(io_, text(settings, "records", ""),
                scaled_limit(settings, "sockets", 1, calls_socket_divisor)),
       announce_(io_, text(settings, "announce", ""), text(settings, "name", "")), recorder_(*this) {
-  last_turn_began_at_ = turn_began_at_ = now();
+  batch_began_at_ = last_batch_began_at_ = batch_before_last_began_at_ = now();
   core_.reset(new Core(now(), settings, recorder_));
   recorder_.bind(*core_);
   apply_operator_settings(operator_settings);
@@ -119,28 +122,27 @@
   finish_turn();
   while (!finished()) {
     io_.run_one();
-    const Nanos began_at = now();
-    const std::uint64_t accepted_before = front_.accepted_connections();
-    const int handlers = run_ready_handlers();
+    run_ready_handlers();
     finish_turn();
-    log_long_turn(began_at, handlers, front_.accepted_connections() - accepted_before);
   }
   recorder_.end(now());
 }
 
-// The number of handlers is bounded, so that peers that send without end can't delay the core's wake-ups.
-int Host::run_ready_handlers() {
-  int count = 0;
-  while (count < handlers_per_turn && io_.poll_one() > 0) ++count;
-  return count;
+// Runs the batch of handlers that are ready now. What a handler waits for again is in a later batch, however
+// soon it is ready, so each socket is handled once: peers that send or connect without end can't delay the
+// rest of the turn. The number of handlers is bounded as well; a larger batch is continued in the next turn.
+void Host::run_ready_handlers() {
+  if (!std::exchange(in_batch_, true)) {
+    batch_began_at_ = now();
+    asio::post(io_, [this] { end_batch(); }); // handlers run in the order in which they became ready
+  }
+  for (int n = 0; n < handlers_per_turn && in_batch_ && io_.poll_one() > 0;) ++n;
 }
 
-// Shows what delayed everything else; a process that was paused shows a long turn with few events.
-void Host::log_long_turn(Nanos began_at, int handlers, std::uint64_t accepted) {
-  const Nanos took = now() - began_at;
-  if (took >= longest_turn)
-    log_info("loop", "a turn took %lld ms: %d events, %llu new connections",
-             static_cast<long long>(took / ms), handlers, static_cast<unsigned long long>(accepted));
+void Host::end_batch() {
+  in_batch_ = false;
+  batch_before_last_began_at_ = last_batch_began_at_;
+  last_batch_began_at_ = batch_began_at_;
 }
 
 void Host::wait_for_sighup() {
@@ -198,6 +200,7 @@
 
 bool Host::poll() {
   io_.restart();
+  io_.poll_one(); // finds what is ready
   run_ready_handlers();
   finish_turn();
   return !finished();
@@ -209,7 +212,7 @@
 }
 
 void Host::finish_turn() {
-  if (core_->anything_due(now())) recorder_.due(now());
+  if (core_->anything_due(now())) wake_core();
   request_gauges();
   if (stopped_accepting_)
     front_.stop_accepting(); // not within the core's action: it can pass further ops to the core
@@ -220,8 +223,14 @@
   interpreter_.flush();
   if (member_) member_->turn();
   arm_timer();
-  last_turn_began_at_ = turn_began_at_;
-  turn_began_at_ = now();
+}
+
+// Late after a long turn of the event loop, or after a pause of the process.
+void Host::wake_core() {
+  const Nanos at = now(), wake = core_->next_wake();
+  if (wake >= 0 && at - wake >= longest_turn)
+    log_info("loop", "a wake-up came %lld ms late", static_cast<long long>((at - wake) / ms));
+  recorder_.due(at);
 }
 
 // Requests the gauges `gauges_lead_` before the wake-up that uses them, so that they normally arrive in time.
@@ -247,7 +256,7 @@
 
 void Host::stop() {
   if (member_) member_->leave(); // other members can take over its leases at once
-  recorder_.drain(now(), last_turn_began_at_);
+  recorder_.drain(now(), batch_before_last_began_at_);
 }
 
 // ---- events from the sockets
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -73,9 +73,10 @@
 
   // Read anew for each event, after its input was read.
   Nanos now();
-  int run_ready_handlers(); // returns how many ran
+  void run_ready_handlers();
+  void end_batch();
   void finish_turn();
-  void log_long_turn(Nanos began_at, int handlers, std::uint64_t accepted);
+  void wake_core();
   void request_gauges();
   void arm_timer();
   void confirm_read(std::uint64_t query);
@@ -107,9 +108,12 @@
   Clock clock_;
   RunningTime running_time_;
   Clock connection_clock_{[this] { return running_time_.now(); }};
-  // Signals are looked for in every turn, so one that is handled now came after the last turn had begun.
-  Nanos turn_began_at_ = 0;
-  Nanos last_turn_began_at_ = 0;
+  bool in_batch_ = false; // some of the handlers of a batch have not run yet
+  // Sockets and signals are looked at in every batch, and what is found is handled by the end of the next. So
+  // a signal that is handled now came after the second last completed batch had begun.
+  Nanos batch_began_at_ = 0;
+  Nanos last_batch_began_at_ = 0;
+  Nanos batch_before_last_began_at_ = 0;
   bool stopped_accepting_ = false;
 
   Front front_;
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -16,7 +16,7 @@
 
 // Connections that the kernel has completed and accept() has not returned yet. The kernel keeps one more.
 constexpr int backlog = asio::socket_base::max_listen_connections;
-constexpr int accepts_per_turn = 64; // a flood of new connections must not starve the existing ones
+constexpr int accepts_per_event = 64; // a flood of new connections must not starve the existing ones
 
 } // namespace
 
@@ -36,18 +36,16 @@
   } catch (const asio::system_error& e) {
     throw std::invalid_argument("listen: " + address + ": " + e.code().message());
   }
-  end_turn();
+  wait();
 }
 
-void Listener::end_turn() {
-  if (waiting_ || retry_pending_ || state_ != State::open) return;
-  waiting_ = true;
+void Listener::wait() {
   acceptor_.async_wait(asio::socket_base::wait_read, [this](asio::error_code error) {
-    waiting_ = false;
     if (state_ != State::open) return;
-    if (!error) accept_pending(accepts_per_turn, error);
-    if (error && error != asio::error::would_block && error != asio::error::connection_aborted)
-      retry_after_delay(error);
+    if (!error) accept_pending(accepts_per_event, error);
+    if (!error || error == asio::error::would_block || error == asio::error::connection_aborted)
+      return wait();
+    retry_after_delay(error);
   });
 }
 
@@ -63,7 +61,6 @@
       continue;
     }
     if (error) break;
-    ++accepted_;
     handler_.accepted(std::move(socket));
   }
   return count;
@@ -76,7 +73,9 @@
   retry_pending_ = true;
   retry_timer_.expires_after(std::chrono::nanoseconds(retry_delay_));
   retry_timer_.async_wait([this](asio::error_code stopped) {
-    if (!stopped) retry_pending_ = false; // the turn that ends now waits again
+    if (stopped) return;
+    retry_pending_ = false;
+    if (state_ == State::open) wait();
   });
 }
 
@@ -95,7 +94,7 @@
   }
   if (retry_pending_) return;
   asio::error_code error;
-  accepts_before_close_ -= accept_pending(std::min(accepts_per_turn, accepts_before_close_), error);
+  accepts_before_close_ -= accept_pending(std::min(accepts_per_event, accepts_before_close_), error);
   if (error == asio::error::would_block || accepts_before_close_ == 0) return close();
   if (error) return handler_.may_free_descriptor() ? retry_after_delay(error) : close();
   asio::post(io_, [] {}); // the next turn follows at once
--- a/node/listener.hpp
+++ b/node/listener.hpp
@@ -1,5 +1,5 @@
 // The listening socket. Owns the acceptor and the delay after a failed accept; accepted sockets pass to the
-// handler. A turn of the event loop accepts a bounded number of connections, however many are pending.
+// handler. Each event accepts a bounded number of connections, however many are pending.
 #pragma once
 
 #include "ids.hpp"
@@ -7,7 +7,6 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <cstdint>
 #include <string>
 
 namespace cometshift {
@@ -31,20 +30,17 @@
 
   // Delay after a failed accept.
   void set_retry_delay(Nanos delay) { retry_delay_ = delay; }
-  // Waits for new connections again. Called as a turn ends, so that a turn accepts once.
-  void end_turn();
   // Accepts the connections that are pending at the first call, some with each call, and then closes the
   // socket. Called once in each turn from the first call on.
   void close_after_pending();
 
   bool closing() const { return state_ != State::open; }
   bool closed() const { return state_ == State::closed; }
-  // Connections accepted so far.
-  std::uint64_t accepted() const { return accepted_; }
 
  private:
   enum class State { open, closing, closed };
 
+  void wait();
   int accept_pending(int most, asio::error_code& error);
   void retry_after_delay(asio::error_code error);
   void close();
@@ -55,10 +51,8 @@
   Handler& handler_;
   Nanos retry_delay_ = 0;
   State state_ = State::open;
-  bool waiting_ = false;         // an asynchronous wait for new connections is in progress
   bool retry_pending_ = false;   // the delay after a failed accept is not over
   int accepts_before_close_ = 0; // while closing: how many connections are still to be accepted
-  std::uint64_t accepted_ = 0;
 };
 
 } // namespace cometshift
