Tests: one fixture for Front, and the bound of drain_flood without its slack

Need: three tests had the same handler and set-up of Front; drain_flood allowed one connection a turn more than a backlog holds, which nothing needs.

--- a/tests/drain_flood.cpp
+++ b/tests/drain_flood.cpp
@@ -1,14 +1,13 @@
 // Guards against a drain that never ends: clients that reconnect faster than they are accepted kept the
 // server in the loop that empties the backlog as the listener closes, and no op was answered any more.
+#include "front_fixture.hpp"
 #include "reconnecting_clients.hpp"
 #include "server_fixture.hpp"
 
 #include <algorithm>
-#include <asio/io_context.hpp>
 
 namespace {
 
-constexpr Nanos second = 1000 * ms;
 constexpr std::size_t max_connections = 160;
 constexpr std::size_t small_table = 24;
 // The grace is 1 s, as the fixture configures it; its end is noticed within 20 ms.
@@ -16,94 +15,49 @@
 constexpr std::chrono::milliseconds time_to_kill{3200};
 constexpr int accepts_per_turn = 64;       // docs/on-call.md
 constexpr int max_pending = SOMAXCONN + 1; // connections that a backlog holds
-constexpr int pending_requests = 100;      // more than are accepted in a turn
-
-const char* yes_or_no(bool yes) { return yes ? "yes" : "no"; }
-
-struct CountingHandler final : Front::Handler {
-  std::vector<StreamRef> streams;
-  void op_received(StreamRef ref, OpId, OpTypeId, TenantId, CallerId, Nanos, Nanos, double, double,
-                   std::string_view, std::string_view, std::string_view) override {
-    streams.push_back(ref);
-  }
-  void stream_lost(StreamRef) override {}
-};
+constexpr int requests = 100;              // more than are accepted in a turn
 
 // Silent clients fill a small table within the turn in which the listener closes, before a request is
 // accepted.
 void test_small_table() {
   std::puts("# more silent clients than the table holds are pending before a request as the listener closes");
-  asio::io_context io;
-  CountingHandler handler;
-  Clock clock{[] { return second; }};
-  Front front{
-      io,     TestConnection::at(5050), small_table, 64 * 1024, {{"look"}, {false}, {"acme"}, true}, clock,
-      handler};
-  front.set_eviction_order({Eviction::no_frame, Eviction::idle, Eviction::newest}, 8);
-  front.connection_drain_delay(second / 2);
+  FrontFixture b(small_table);
   std::vector<TestConnection> silent;
   for (std::size_t i = 0; i < 2 * small_table; ++i)
     silent.push_back(TestConnection::connect_without_turn(5050));
-  TestConnection caller = TestConnection::connect_without_turn(5050);
-  caller.send_without_turn(ask(1, "9b1f03aa5c7e2d41"));
-  front.stop_accepting();
-  std::printf("  %zu request was read\n", handler.streams.size());
-  for (const StreamRef ref : handler.streams) front.refused(ref, 0, false);
-  front.flush();
-  for (int i = 0; i < 2; ++i) std::printf("  %s\n", caller.frame().c_str());
+  std::vector<TestConnection> callers = pending_requests(1);
+  b.front.stop_accepting();
+  std::printf("  %zu request was read\n", b.handler.streams.size());
+  b.refuse_all();
+  for (int i = 0; i < 2; ++i) std::printf("  %s\n", callers.front().frame().c_str());
 }
 
 bool listener_is_closed() { return TestConnection::connect_without_turn(5050).refused(); }
 
 void test_listener() {
   std::puts("# the listener closes while the backlog is never empty");
-  asio::io_context io;
-  CountingHandler handler;
-  Nanos now = second;
-  Clock clock{[&] { return now; }};
-  Front front{io,
-              TestConnection::at(5050),
-              max_connections,
-              64 * 1024,
-              {{"look"}, {false}, {"acme"}, true},
-              clock,
-              handler};
-  front.accept_retry_delay(ms);
-  front.set_eviction_order({Eviction::no_frame, Eviction::idle, Eviction::newest}, 8);
-  front.connection_drain_delay(second / 2);
-
-  std::vector<TestConnection> callers;
-  for (int i = 0; i < pending_requests; ++i) {
-    callers.push_back(TestConnection::connect_without_turn(5050));
-    callers.back().send_without_turn(ask(1, "9b1f03aa5c7e2d41"));
-  }
-  int turns = 0, most_accepts = 0;
+  FrontFixture b(max_connections);
+  std::vector<TestConnection> callers = pending_requests(requests);
+  int most_accepts = 0;
   {
     const ReconnectingClients clients;
-    for (bool closed = false; !closed && !clients.exhausted(); ++turns) {
+    for (bool closed = false; !closed && !clients.exhausted();) {
       const int accepts_before = ReconnectingClients::accepts;
-      front.stop_accepting();
-      io.restart();
-      io.poll();
-      front.flush();
+      b.front.stop_accepting();
+      b.turn();
       most_accepts = std::max(most_accepts, ReconnectingClients::accepts - accepts_before);
       closed = listener_is_closed();
     }
   }
   std::printf("  closed after no more connections than a backlog holds: %s\n",
-              yes_or_no(ReconnectingClients::accepts <= max_pending + turns)); // one of the test in each turn
+              yes_or_no(ReconnectingClients::accepts <= max_pending));
   std::printf("  in each turn at most %d were accepted: %s\n", accepts_per_turn,
               yes_or_no(most_accepts <= accepts_per_turn));
-  std::printf("  %zu of %d pending requests were read\n", handler.streams.size(), pending_requests);
+  std::printf("  %zu of %d pending requests were read\n", b.handler.streams.size(), requests);
 
-  for (const StreamRef ref : handler.streams) front.refused(ref, 0, false);
+  b.refuse_all();
   std::size_t answered = 0, resets = 0;
-  TestConnection::turn = [&] {
-    now += second / 8;
-    io.restart();
-    io.poll();
-    front.flush();
-  };
+  TestConnection::turn = [&] { b.pass(drain_delay / 4); };
   for (TestConnection& caller : callers) {
     const std::string first = caller.frame(), last = caller.frame();
     answered += first.starts_with("answer on 1: code 14") || last.starts_with("answer on 1: code 14");
@@ -112,9 +66,8 @@
   }
   std::printf("  %zu of them were answered, %zu connections were reset\n", answered, resets);
   callers.clear();
-  TestConnection::until("end of the drain", [&] { return front.closed(); });
+  TestConnection::until("end of the drain", [&] { return b.front.closed(); });
   std::puts("  the drain has ended");
-  TestConnection::turn = [] {};
 }
 
 void test_server() {
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -1,13 +1,10 @@
 // Every way in which Front ends a connection, with bytes that arrive at the same moment: whatever was read is
 // answered, whatever was not is never executed as an op, and no reset destroys responses that the peer has
 // not read yet.
-#include "driver.hpp"
-#include "front.hpp"
+#include "front_fixture.hpp"
 
-#include <asio/io_context.hpp>
 #include <sys/syscall.h>
 
-constexpr Nanos second = 1000 * ms;
 constexpr std::size_t max_connections = 24;
 
 // Replaces the system's accept(): the next `aborted_accepts` connections are aborted before they are
@@ -24,49 +21,8 @@
 
 namespace {
 
-struct RecordingHandler final : Front::Handler {
-  std::vector<StreamRef> streams;
-  std::size_t lost = 0;
-  void op_received(StreamRef ref, OpId, OpTypeId, TenantId, CallerId, Nanos, Nanos, double, double,
-                   std::string_view, std::string_view, std::string_view) override {
-    streams.push_back(ref);
-  }
-  void stream_lost(StreamRef) override { ++lost; }
-};
-
-struct Fixture {
-  asio::io_context io;
-  RecordingHandler handler;
-  Nanos now = second;
-  Clock clock{[this] { return now; }};
-  Front front{io,
-              TestConnection::at(5050),
-              max_connections,
-              64 * 1024,
-              {{"look"}, {false}, {"acme"}, true},
-              clock,
-              handler};
-
-  Fixture() {
-    front.accept_retry_delay(ms);
-    front.set_eviction_order({Eviction::no_frame, Eviction::idle, Eviction::newest}, 8);
-    front.connection_drain_delay(second / 2);
-    front.frame_timeout(3 * second / 2);
-    front.write_stall_timeout(4 * second);
-    TestConnection::turn = [this] { turn(); };
-  }
-  ~Fixture() {
-    TestConnection::turn = [] {};
-  }
-  void turn() {
-    io.restart();
-    io.poll();
-    front.flush();
-  }
-  void pass(Nanos time) {
-    now += time;
-    for (int i = 0; i < 3; ++i) turn();
-  }
+struct Fixture : FrontFixture {
+  Fixture() : FrontFixture(max_connections) {}
   StreamRef send_request(TestConnection& peer, std::uint32_t stream) {
     const std::size_t before = handler.streams.size();
     peer.say(ask(stream, "9b1f03aa5c7e2d41"));
