Review: the records of cases 6 and 7 name each request

Cause: the record is to say what was sent, answered and run; in these two cases it gave counts a second only.

Change: the stand-ins write a line for each request sent, each run begun and each answer where a case asks for it; cases 6 and 7 do.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -51,6 +51,7 @@
 
 int main(int argc, char** argv) {
   const Arguments args = arguments(argc, argv);
+  record_each = true;
   Loop loop;
   Interpreter interpreter(loop);
   Announce announce(loop);
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -51,6 +51,7 @@
 
 int main(int argc, char** argv) {
   const Arguments args = arguments(argc, argv);
+  record_each = true;
   Loop loop;
   Interpreter interpreter(loop);
   Announce announce(loop);
--- a/review/kit-2/stand.hpp
+++ b/review/kit-2/stand.hpp
@@ -57,6 +57,8 @@
   va_end(rest);
   std::fputc('\n', record_file);
 }
+// Whether the stand-ins write a line for each request sent, each run begun and each answer.
+inline bool record_each = false;
 [[noreturn]] inline void cannot_run(const std::string& why) {
   record("the case could not run: %s", why.c_str());
   if (record_file) std::fflush(record_file);
@@ -449,6 +451,7 @@
     run.result_bytes = static_cast<std::size_t>(figure(body, "r=", 16));
     run.began = steady_ms();
     ++begun[id];
+    if (record_each) record("run %s", id.c_str());
     if (on_start) on_start(id);
     work(id);
   }
@@ -616,6 +619,7 @@
   void send(const Try& t) {
     interpreter_.requests[t.txn] = {t.verb, t.body, false};
     open[next_] = t.txn;
+    if (record_each) record("sent %s %s %s", t.txn.c_str(), t.verb.c_str(), t.unique.c_str());
     connection->send(request_frame(next_++, t, lb_));
   }
   void health_check() {
@@ -664,6 +668,7 @@
     const std::string txn = one->second;
     open.erase(one);
     interpreter_.request_over(txn);
+    if (record_each) record("answered %s %d", txn.c_str(), answer.code);
     if (on_answer) on_answer(txn, answer);
   }
   Interpreter& interpreter_;
