A retry of an op that has run is not nacked for a full table: its key is looked up first

Cause: Core::op_received compared the sizes of its tables with their bounds before it looked for an earlier try, although a retry needs no new entry.

Change: the key is looked up first, and the bound on keys counts only where a new entry would be made. The same order is mended for the bound on open ops (a retry gets the kept result, or is failed while there is none), for marks with two bodies that have both run, and for an id whose op was started (failed).

An existing expectation was wrong and is replaced by one as strict: the trace of `host` had code 14 for the id of an op that runs; "'Refused' states that this try was never run" (PROTOCOL), so it is code 2 now.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -133,18 +133,59 @@
   if (op.answered && op.run != Op::Run::pending && op.run != Op::Run::sent) ops_.erase(at);
 }
 
+std::optional<Core::Key> Core::key_of(OpTypeId type, std::string_view mark, std::string_view subject,
+                                      Digest body_digest) const {
+  switch (retry_classes_[type.raw]) {
+  case RetryClass::keyed:
+    return Key{type, std::string(mark), body_digest};
+  case RetryClass::retryable:
+    if (result_freshness_ > 0 && !subject.empty()) return Key{type, std::string(subject), {}};
+    return std::nullopt;
+  case RetryClass::non_retryable:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+// An id in use can't be taken by another op. That includes ids of ended ops: kept results refer to them by
+// id, so another op with the same id would be taken for that one. A nack would state that the id was never
+// run, so an op that was started is failed.
+void Core::reject_duplicate_id(StreamRef stream_ref, OpId id) {
+  actions_.note("request", "refused: its txn is already in use");
+  const auto at = ops_.find(id);
+  if (at != ops_.end() && at->second.run != Op::Run::none)
+    actions_.failed(stream_ref, id, Reason::known);
+  else
+    actions_.refused(stream_ref, id, Reason::known, 0, false);
+  actions_.penalize(stream_ref);
+}
+
+// The bound that another op would exceed; none if there is room. An op whose key is in the table needs no new
+// entry.
+Reason Core::exceeded_bound(const std::optional<Key>& key, bool keyed) const {
+  if (keyed && keys_.size() >= max_keys_ && !keys_.contains(*key)) return Reason::too_many_keys;
+  return ops_.size() >= max_ops_ ? Reason::too_many_ops : Reason::none;
+}
+
+// Answers an op for which there is no room. A retry gets the kept result of its original. While there is
+// none, a keyed retry is failed: a nack would state that it was never run.
+void Core::reject_for_room(StreamRef stream_ref, OpId id, const KeyEntry* original, bool keyed,
+                           Reason reason) {
+  actions_.note("request", "refused: too many open ops or kept keys");
+  if (original && original->state == KeyEntry::State::done)
+    actions_.served(stream_ref, id, original->result);
+  else if (original && keyed)
+    actions_.failed(stream_ref, id, reason);
+  else
+    actions_.refused(stream_ref, id, reason, 0, false);
+}
+
 void Core::op_received(Nanos now, StreamRef stream_ref, OpId id, OpTypeId type, TenantId tenant,
                        CallerId caller, Nanos received_at, Nanos limit, double held_kb, double rank,
                        std::string_view mark, std::string_view subject, Content body, Digest body_digest) {
   now_ = now;
-  const RetryClass retry_class = retry_classes_[type.raw];
-  const bool keyed = retry_class == RetryClass::keyed;
-  const bool shared = retry_class == RetryClass::retryable && result_freshness_ > 0 && !subject.empty();
-  std::optional<Key> key;
-  if (keyed)
-    key = Key{type, std::string(mark), body_digest};
-  else if (shared)
-    key = Key{type, std::string(subject), {}};
+  const bool keyed = retry_classes_[type.raw] == RetryClass::keyed;
+  std::optional<Key> key = key_of(type, mark, subject, body_digest);
   // A resend under the same id after the op has ended: it has run and is answered from the kept result.
   if (const auto at = key ? keys_.find(*key) : keys_.end();
       at != keys_.end() && at->second.holder == id && !ops_.contains(id)) {
@@ -152,25 +193,15 @@
     if (at->second.state == KeyEntry::State::failed)
       return actions_.failed(stream_ref, id, Reason::first_failed);
   }
-  // Bounds memory, and rejects an id that is already in use. That includes ids of ended ops: kept results
-  // refer to them by id, so another op with the same id would be taken for that one.
-  const bool duplicate_id = ops_.contains(id) || holders_.contains(id);
-  const bool keys_full = keyed && keys_.size() >= max_keys_;
-  if (duplicate_id || ops_.size() >= max_ops_ || keys_full) {
-    const Reason reason = duplicate_id ? Reason::known
-                          : keys_full  ? Reason::too_many_keys
-                                       : Reason::too_many_ops;
-    actions_.note("request", duplicate_id ? "refused: its txn is already in use"
-                                          : "refused: too many open ops or kept keys");
-    actions_.refused(stream_ref, id, reason, 0, false);
-    return duplicate_id ? actions_.penalize(stream_ref) : void();
-  }
+  if (ops_.contains(id) || holders_.contains(id)) return reject_duplicate_id(stream_ref, id);
   if (keyed && conflicts_with_confirmed(*key)) {
     actions_.note("request", "refused: its mark belongs to another op");
     actions_.refused(stream_ref, id, Reason::other_mark, 0, true);
     return actions_.penalize(stream_ref);
   }
   const OpId earlier = key ? find_earlier_try(*key, keyed, received_at) : no_op_id;
+  if (const Reason reason = exceeded_bound(key, keyed); reason != Reason::none)
+    return reject_for_room(stream_ref, id, earlier != no_op_id ? &keys_.at(*key) : nullptr, keyed, reason);
   double worth = 1;
   if (pools_) {
     // Tries of one op have the same body and rank; different ops rarely share both.
@@ -402,13 +433,17 @@
 
 // Protects an op's mark against another caller's op with the same mark: once the interpreter has confirmed
 // one of them, no other body is accepted under the mark. Until then both are kept, each under its own body
-// digest, and the interpreter decides which one it knows.
+// digest, and the interpreter decides which one it knows. If it has confirmed both, retries of both are
+// accepted, as both have run.
 bool Core::conflicts_with_confirmed(const Key& key) const {
   const Key first{key.type, key.value, {}};
+  bool conflict = false;
   for (auto at = keys_.lower_bound(first);
-       at != keys_.end() && at->first.type == key.type && at->first.value == key.value; ++at)
-    if (at->second.confirmed && at->first != key) return true;
-  return false;
+       at != keys_.end() && at->first.type == key.type && at->first.value == key.value; ++at) {
+    if (at->second.confirmed && at->first == key) return false;
+    conflict = conflict || at->second.confirmed;
+  }
+  return conflict;
 }
 
 OpId Core::find_earlier_try(const Key& key, bool keyed, Nanos received_at) const {
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -127,6 +127,13 @@
   void set_eviction_order(std::span<const Eviction> order, int max_invalid_ops) override;
   void stop_accepting() override;
 
+  // The key under which retries of such an op are recognized; nothing if they are not.
+  std::optional<Key> key_of(OpTypeId type, std::string_view mark, std::string_view subject,
+                            Digest body_digest) const;
+  Reason exceeded_bound(const std::optional<Key>& key, bool keyed) const;
+  void reject_duplicate_id(StreamRef stream_ref, OpId id);
+  // `original`: the entry of the op that it repeats, or null.
+  void reject_for_room(StreamRef stream_ref, OpId id, const KeyEntry* original, bool keyed, Reason reason);
   void send_run(OpId id, Op& op);
   Op* find_unanswered(OpId id); // null if unknown or already answered
   void mark_answered(OpId id, Op& op);
--- a/tests/host.cpp
+++ b/tests/host.cpp
@@ -37,7 +37,7 @@
     w.book(2, b, "m1");
     print_command();
     w.book(3, c, "m1");
-    w.book(4, b, "m1"); // the id of the op that is running
+    w.book(4, b, "m1"); // the id of the op that is running: failed, as a nack would say that it never ran
     print_frame();
     w.notice(3, "VALUE", b, result_fields);
     print_frame(), print_frame();
