--- a/capture/recorder.cpp
+++ b/capture/recorder.cpp
@@ -6,6 +6,7 @@
 #include "serializer.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 
 namespace cometshift {
@@ -46,6 +47,8 @@
   recording_ = static_cast<std::uint64_t>(now);
   segment_ = 0;
   entries_ = 0;
+  snapshot_bytes_ = 0;
+  longest_snapshot_ = 0;
   const auto bytes = [&](const char* name) {
     return static_cast<std::uint64_t>(required_number(wanted, name, 1));
   };
@@ -75,13 +78,14 @@
 
 std::string Recorder::figures() const {
   if (!recording()) return "none";
-  char text[320];
+  char text[400];
   std::snprintf(
       text, sizeof text,
-      "%llu entries in %u segments, %llu bytes written and %llu to be, longest write %.1f ms, %llu segments "
-      "removed; %llu "
-      "gaps, %llu entries lost in them or more; %s",
-      static_cast<unsigned long long>(entries_), segment_,
+      "%llu entries in %u segments, snapshots of %llu bytes, the longest took %.1f ms; %llu bytes written and "
+      "%llu to be, longest write %.1f ms, %llu segments removed; %llu gaps, %llu entries lost in them or "
+      "more; %s",
+      static_cast<unsigned long long>(entries_), segment_, static_cast<unsigned long long>(snapshot_bytes_),
+      static_cast<double>(longest_snapshot_) / ms,
       static_cast<unsigned long long>(segment_writer_->written()),
       static_cast<unsigned long long>(segment_writer_->queued()),
       static_cast<double>(segment_writer_->longest_write()) / ms,
@@ -128,8 +132,9 @@
   return flush(now);
 }
 
-bool Recorder::open_segment(Nanos now) {
-  if (!close_segment(now)) return false;
+// The head of a new segment, and its first entry: the state of the core.
+std::string Recorder::segment_start(Nanos now) {
+  const auto started = std::chrono::steady_clock::now();
   wire::Head head;
   head.set_format(capture_format);
   head.set_layout(snapshot_layout);
@@ -158,6 +163,17 @@
     append_entry(payload, gap);
   }
   bytes += encode_block(payload);
+  snapshot_bytes_ += bytes.size();
+  longest_snapshot_ =
+      std::max<Nanos>(longest_snapshot_, std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                             std::chrono::steady_clock::now() - started)
+                                             .count());
+  return bytes;
+}
+
+bool Recorder::open_segment(Nanos now) {
+  if (!close_segment(now)) return false;
+  std::string bytes = segment_start(now);
   std::string number = std::to_string(segment_ + 1);
   number.insert(0, digits_of_segment - std::min(digits_of_segment, number.size()), '0');
   const std::uint64_t size = bytes.size();
--- a/capture/recorder.hpp
+++ b/capture/recorder.hpp
@@ -33,7 +33,8 @@
   void
   wait_written() const; // blocks until all queued data is written or has failed; not for use on an event loop
   void reloaded(Nanos now, std::string_view words); // records a reload, for information only
-  // Statistics of the recording: entries, segments, bytes written, gaps, entries lost, segments removed.
+  // Statistics of the recording: entries, segments, snapshots, bytes written, gaps, entries lost, segments
+  // removed.
   std::string figures() const;
 
   void op_received(Nanos now, StreamRef line, OpId id, OpTypeId type, TenantId tenant, CallerId caller,
@@ -77,6 +78,7 @@
   template <class Put, class Run>
   void event(Nanos now, Put put, Run run);
   bool ready(Nanos now);
+  std::string segment_start(Nanos now);
   bool open_segment(Nanos now);
   bool close_segment(Nanos now);
   void commit(Nanos now);
@@ -100,6 +102,8 @@
   std::uint32_t segment_ = 0;
   std::uint64_t segment_entries_ = 0;
   std::uint64_t entries_ = 0;
+  std::uint64_t snapshot_bytes_ = 0; // of all segments, with their heads
+  Nanos longest_snapshot_ = 0;       // time that the event loop spent on one
   bool bodies_ = false;
   bool recording_event_ = false; // the current event is being recorded
 };
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -126,6 +126,8 @@
     finish_turn();
   }
   recorder_.end(now());
+  log_info("loop", "ended, the latest wake-up came %lld ms late",
+           static_cast<long long>(latest_wake_up_ / ms));
 }
 
 // Runs the batch of handlers that are ready now. What a handler waits for again is in a later batch, however
@@ -228,6 +230,7 @@
 // Late after a long turn of the event loop, or after a pause of the process.
 void Host::wake_core() {
   const Nanos at = now(), wake = core_->next_wake();
+  if (wake >= 0) latest_wake_up_ = std::max(latest_wake_up_, at - wake);
   if (wake >= 0 && at - wake >= longest_turn)
     log_info("loop", "a wake-up came %lld ms late", static_cast<long long>((at - wake) / ms));
   recorder_.due(at);
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -102,6 +102,7 @@
   StartNo last_confirmed_start_{}; // the last start that the interpreter is known to have read
 
   Nanos armed_for_ = 0;
+  Nanos latest_wake_up_ = 0; // how late the latest of all wake-ups came
   Nanos gauges_requested_at_ = 0;
   Nanos gauges_requested_for_ = 0; // the wake-up that the gauges were requested for
   Nanos gauges_lead_ = 1'000'000;  // how long before the wake-up: a round trip and a margin
