--- a/capture/recorder.cpp
+++ b/capture/recorder.cpp
@@ -81,7 +81,8 @@
   char text[400];
   std::snprintf(
       text, sizeof text,
-      "%llu entries in %u segments, snapshots of %llu bytes, the longest took %.1f ms; %llu bytes written and "
+      "%llu entries in %u segments, snapshots of %llu bytes, the longest took %.1f ms; %llu bytes written "
+      "and "
       "%llu to be, longest write %.1f ms, %llu segments removed; %llu gaps, %llu entries lost in them or "
       "more; %s",
       static_cast<unsigned long long>(entries_), segment_, static_cast<unsigned long long>(snapshot_bytes_),
@@ -164,10 +165,9 @@
   }
   bytes += encode_block(payload);
   snapshot_bytes_ += bytes.size();
-  longest_snapshot_ =
-      std::max<Nanos>(longest_snapshot_, std::chrono::duration_cast<std::chrono::nanoseconds>(
-                                             std::chrono::steady_clock::now() - started)
-                                             .count());
+  longest_snapshot_ = std::max<Nanos>(longest_snapshot_, std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                                             std::chrono::steady_clock::now() - started)
+                                                             .count());
   return bytes;
 }
 
--- a/capture/recording_policy.cpp
+++ b/capture/recording_policy.cpp
@@ -11,6 +11,15 @@
 constexpr Nanos max_retry_delay = 30 * second;    // one snapshot per attempt is a negligible load
 } // namespace
 
+// A snapshot takes as long as the state is large, so a segment does not end before its entries take as much
+// room as its snapshot: snapshots never make up more than half of what is recorded, however small the limits
+// of a segment are.
+bool RecordingPolicy::segment_ended(Nanos now) const {
+  const bool at_limit = snapshot_bytes_ + entry_bytes_ >= limits_.segment_bytes ||
+                        now - segment_opened_at_ >= limits_.segment_age;
+  return at_limit && entry_bytes_ >= snapshot_bytes_;
+}
+
 // Keeps the cost of recording from rising when the disk is slow or failing: during a gap no events are
 // encoded, and new segments are attempted with exponential backoff. A gap can therefore last some seconds
 // longer than the fault that caused it.
@@ -20,22 +29,21 @@
     ++total_lost_;
     return Step::skip;
   }
-  if (in_gap_ || !open_ || bytes_ >= limits_.segment_bytes || now - segment_opened_at_ >= limits_.segment_age)
-    return Step::begin_segment;
-  return Step::record;
+  return in_gap_ || !open_ || segment_ended(now) ? Step::begin_segment : Step::record;
 }
 
 void RecordingPolicy::began(Nanos now, std::uint64_t bytes) {
   open_ = true;
   in_gap_ = false;
   lost_ = 0;
-  bytes_ = bytes;
+  snapshot_bytes_ = bytes;
+  entry_bytes_ = 0;
   segment_opened_at_ = now;
 }
 
 // Resets the backoff, as a complete block was accepted.
 void RecordingPolicy::took(std::uint64_t bytes) {
-  bytes_ += bytes;
+  entry_bytes_ += bytes;
   retry_delay_ = 0;
 }
 
--- a/capture/recording_policy.hpp
+++ b/capture/recording_policy.hpp
@@ -15,6 +15,7 @@
 // Used on the event loop: decides what is recorded, counts lost entries and starts new segments.
 class RecordingPolicy {
  public:
+  // A segment ends at this size or age, but not before its entries take as many bytes as its snapshot.
   struct Limits {
     std::uint64_t segment_bytes;
     Nanos segment_age;
@@ -41,10 +42,13 @@
   std::uint64_t total_lost() const { return total_lost_; }
 
  private:
+  bool segment_ended(Nanos now) const;
+
   Limits limits_;
   bool open_ = false;
   bool in_gap_ = false;
-  std::uint64_t bytes_ = 0;
+  std::uint64_t snapshot_bytes_ = 0; // of the open segment, with its head
+  std::uint64_t entry_bytes_ = 0;    // of the open segment, behind its snapshot
   Nanos segment_opened_at_ = 0;
   Nanos retry_at_ = 0;
   Nanos retry_delay_ = 0;
