The time of the drain notice is taken in the signal handler, not when the loop finds it

Cause: the earliest moment of the notice was the beginning of the batch of events before the last. One look of the reactor finds 128 descriptors; the signal's pipe, ready last, was found by the third, when that mark lay after the pause.

Evidence: a recording of the case has "told to leave within the last 2.848 ms" 452 ms after the notice, and the loop was on time from 5 ms after the pause on.

Change: StopSignal. Threads beside the loop's block signals. The marks of batches are gone; Host::stop() counts from the last reading before it.

--- a/capture/segment_writer.cpp
+++ b/capture/segment_writer.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <csignal>
 #include <cstring>
 #include <deque>
 #include <fcntl.h>
@@ -23,6 +24,17 @@
 constexpr int folder_mode = 0700;   // recordings are readable by the server's user only
 constexpr int file_mode = 0600;
 
+// Starts a thread that blocks all signals, so that they are handled by the thread of the event loop.
+template <class Run>
+std::thread start_without_signals(Run run) {
+  sigset_t all, before;
+  sigfillset(&all);
+  pthread_sigmask(SIG_SETMASK, &all, &before);
+  std::thread thread(std::move(run));
+  pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  return thread;
+}
+
 class FolderStorage final : public SegmentStorage {
   std::filesystem::path folder_;
   int fd_ = -1;
@@ -107,7 +119,7 @@
 
 SegmentWriter::SegmentWriter(std::unique_ptr<SegmentStorage> files, std::string prefix, Limits limits)
     : work_(std::make_shared<Work>(std::move(files), std::move(prefix), limits)),
-      thread_([work = work_] { work->run(); }) {}
+      thread_(start_without_signals([work = work_] { work->run(); })) {}
 
 SegmentWriter::~SegmentWriter() {
   std::unique_lock hold(work_->lock);
--- a/node/clock.hpp
+++ b/node/clock.hpp
@@ -5,6 +5,7 @@
 #include "ids.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <utility>
 
@@ -14,19 +15,22 @@
 // earlier reading may be long past, and what is read from a socket after it may be newer than it.
 class Clock {
   std::function<Nanos()> system_time_;
-  Nanos now_ = 0;
+  std::atomic<Nanos> now_ = 0; // atomic for signal handlers only
   Nanos offset_ = 0; // of this clock against the system clock; grows when the system clock is set back
 
  public:
   explicit Clock(std::function<Nanos()> system_time) : system_time_(std::move(system_time)) {}
 
   Nanos now() {
-    const Nanos system_time = system_time_();
-    if (system_time + offset_ < now_)
-      offset_ = now_ - system_time; // the system clock was set back: stand still now, advance afterwards
-    now_ = system_time + offset_;
-    return now_;
+    const Nanos system_time = system_time_(), last = last_reading();
+    if (system_time + offset_ < last)
+      offset_ = last - system_time; // the system clock was set back: stand still now, advance afterwards
+    const Nanos now = system_time + offset_;
+    now_.store(now, std::memory_order_relaxed);
+    return now;
   }
+  // What the last call of now() returned. May be called in a signal handler.
+  Nanos last_reading() const { return now_.load(std::memory_order_relaxed); }
   // Converts a time that was read from the system clock, such as an op's time of receipt.
   Nanos from_system(Nanos system_time) const { return system_time + offset_; }
 };
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -83,9 +83,9 @@
 
 Host::Host(const Settings& settings, std::string config_path, const Settings& operator_settings,
            std::string operator_path)
-    : stop_signals_(io_), sighup_(io_), sigusr1_(io_),
-      config_path_(catch_sighup(sighup_, std::move(config_path))), operator_path_(std::move(operator_path)),
-      timer_(io_), names_(names_from(settings)), clock_(unix_time), running_time_(clock_, longest_turn),
+    : sighup_(io_), sigusr1_(io_), config_path_(catch_sighup(sighup_, std::move(config_path))),
+      operator_path_(std::move(operator_path)), timer_(io_), names_(names_from(settings)), clock_(unix_time),
+      running_time_(clock_, longest_turn),
       front_(io_, text(settings, "listen", ""), max_connections(settings),
              scaled_limit(settings, "memory_mb", mb, answers_memory_divisor), names_, connection_clock_,
              *this),
@@ -94,7 +94,6 @@
       records_(io_, text(settings, "records", ""),
                scaled_limit(settings, "sockets", 1, calls_socket_divisor)),
       announce_(io_, text(settings, "announce", ""), text(settings, "name", "")), recorder_(*this) {
-  batch_began_at_ = last_batch_began_at_ = batch_before_last_began_at_ = now();
   core_.reset(new Core(now(), settings, recorder_));
   recorder_.bind(*core_);
   apply_operator_settings(operator_settings);
@@ -114,15 +113,12 @@
 // connection by connection.
 void Host::serve() {
   std::signal(SIGPIPE, SIG_IGN);
-  stop_signals_.add(SIGTERM);
-  stop_signals_.add(SIGINT);
-  stop_signals_.async_wait([this](asio::error_code error, int) {
-    if (!error) stop(); // once: a second signal has no effect
-  });
+  catch_stop_signals();
   finish_turn();
   while (!finished()) {
     io_.run_one();
     run_ready_handlers();
+    check_stop_signal();
     finish_turn();
   }
   recorder_.end(now());
@@ -134,19 +130,11 @@
 // soon it is ready, so each socket is handled once: peers that send or connect without end can't delay the
 // rest of the turn. The number of handlers is bounded as well; a larger batch is continued in the next turn.
 void Host::run_ready_handlers() {
-  if (!std::exchange(in_batch_, true)) {
-    batch_began_at_ = now();
-    asio::post(io_, [this] { end_batch(); }); // handlers run in the order in which they became ready
-  }
+  if (!std::exchange(in_batch_, true))
+    asio::post(io_, [this] { in_batch_ = false; }); // handlers run in the order in which they became ready
   for (int n = 0; n < handlers_per_turn && in_batch_ && io_.poll_one() > 0;) ++n;
 }
 
-void Host::end_batch() {
-  in_batch_ = false;
-  batch_before_last_began_at_ = last_batch_began_at_;
-  last_batch_began_at_ = batch_began_at_;
-}
-
 void Host::wait_for_sighup() {
   sighup_.async_wait([this](asio::error_code error, int) {
     if (error) return;
@@ -204,6 +192,7 @@
   io_.restart();
   io_.poll_one(); // finds what is ready
   run_ready_handlers();
+  check_stop_signal();
   finish_turn();
   return !finished();
 }
@@ -257,9 +246,19 @@
   });
 }
 
-void Host::stop() {
+void Host::catch_stop_signals() { stop_signal_.emplace(io_, clock_); }
+
+// Once: a second signal has no effect.
+void Host::check_stop_signal() {
+  if (!stop_signal_ || core_->draining()) return;
+  if (const std::optional<Nanos> not_before = stop_signal_->not_before()) begin_drain(*not_before);
+}
+
+void Host::stop() { begin_drain(clock_.last_reading()); }
+
+void Host::begin_drain(Nanos not_before) {
   if (member_) member_->leave(); // other members can take over its leases at once
-  recorder_.drain(now(), batch_before_last_began_at_);
+  recorder_.drain(now(), not_before);
 }
 
 // ---- events from the sockets
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -12,12 +12,14 @@
 #include "member.hpp"
 #include "recorder.hpp"
 #include "records.hpp"
+#include "stop_signal.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cometshift {
@@ -34,7 +36,9 @@
   // For use in the caller's loop: handles ready events without waiting. Returns false when a drain has
   // completed.
   bool poll();
-  // Begins a drain.
+  // From now on SIGTERM and SIGINT begin a drain in the caller's loop too.
+  void catch_stop_signals();
+  // Begins a drain, whose notice comes at this moment.
   void stop();
   // Applies the addresses of `settings`, and the log, recording, pool and voter settings of
   // `operator_settings`. Everything else stays as it is.
@@ -74,7 +78,8 @@
   // Read anew for each event, after its input was read.
   Nanos now();
   void run_ready_handlers();
-  void end_batch();
+  void check_stop_signal();
+  void begin_drain(Nanos not_before);
   void finish_turn();
   void wake_core();
   void request_gauges();
@@ -86,7 +91,6 @@
   void apply_operator_settings(const Settings& operator_settings);
 
   asio::io_context io_;
-  asio::signal_set stop_signals_;
   asio::signal_set sighup_;
   asio::signal_set sigusr1_; // logs the fleet status; only as a member of a fleet
   std::string config_path_;  // empty: no reload
@@ -109,12 +113,8 @@
   Clock clock_;
   RunningTime running_time_;
   Clock connection_clock_{[this] { return running_time_.now(); }};
+  std::optional<StopSignal> stop_signal_;
   bool in_batch_ = false; // some of the handlers of a batch have not run yet
-  // Sockets and signals are looked at in every batch, and what is found is handled by the end of the next. So
-  // a signal that is handled now came after the second last completed batch had begun.
-  Nanos batch_began_at_ = 0;
-  Nanos last_batch_began_at_ = 0;
-  Nanos batch_before_last_began_at_ = 0;
   bool stopped_accepting_ = false;
 
   Front front_;
--- a/node/stop_signal.cpp
+++ b/node/stop_signal.cpp
@@ -43,7 +43,8 @@
 
 StopSignal::StopSignal(asio::io_context& io, const Clock& clock) : wake_(io) {
   int ends[2];
-  if (pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
+  if (pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0)
+    throw std::system_error(errno, std::generic_category(), "pipe");
   wake_.assign(ends[0]);
   wake_writer = ends[1];
   signal_clock = &clock;
