A call whose time is over reads what has arrived before it is given up

Nobody reported it.

A small reply wins behind 300 ready sockets before the change, too, and so does the last answer before the link moves: the reactor's timer is a descriptor like the others. So the size is the cause, not the look.

Change: an event reads all of a reply that has arrived (20 reads at most), and a call whose time is over reads once more.

--- a/node/http_client.cpp
+++ b/node/http_client.cpp
@@ -3,12 +3,15 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
+#include <array>
 #include <utility>
 
 namespace cometshift {
 
 namespace {
 constexpr std::size_t max_reply_body = 64 * 1024;
+constexpr std::size_t input_bytes = 4096; // of one read
+constexpr int reads_per_event = 20;       // the largest reply fits
 } // namespace
 
 HttpClient::HttpClient(asio::io_context& io, std::size_t max_connections)
@@ -43,7 +46,7 @@
   c.body = std::move(body);
   c.timer.expires_after(std::chrono::nanoseconds(timeout));
   c.timer.async_wait(if_current(c, [this](Connection& expired, asio::error_code stopped, std::size_t) {
-    if (!stopped) finish(expired, Result::timed_out);
+    if (!stopped) expire(expired);
   }));
   c.socket.async_connect(target,
                          if_current(c, [this](Connection& connected, asio::error_code error, std::size_t) {
@@ -52,6 +55,8 @@
                            if (error || (connected.may_send && !connected.may_send()))
                              return finish(connected, Result::not_sent);
                            asio::error_code ignored;
+                           connected.socket.non_blocking(true, ignored);
+                           connected.connected = true;
                            connected.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
                            write(connected);
                          }));
@@ -63,23 +68,39 @@
                     if_current(c, [this](Connection& current, asio::error_code error, std::size_t) {
                       if (error) finish(current, Result::connection_lost);
                     }));
-  read(c);
+  wait_readable(c);
 }
 
-void HttpClient::read(Connection& c) {
-  c.socket.async_read_some(asio::buffer(c.input),
-                           if_current(c, [this](Connection& from, asio::error_code error, std::size_t n) {
-                             if (error)
-                               return finish(from, Result::connection_lost); // unknown whether the call ran
-                             switch (from.reply.feed({from.input.data(), n})) {
-                             case HttpReply::State::reading:
-                               return read(from);
-                             case HttpReply::State::malformed:
-                               return finish(from, Result::malformed);
-                             case HttpReply::State::complete:
-                               return finish(from, Result::complete);
-                             }
-                           }));
+void HttpClient::wait_readable(Connection& c) {
+  c.socket.async_wait(asio::socket_base::wait_read,
+                      if_current(c, [this](Connection& from, asio::error_code error, std::size_t) {
+                        if (error) return finish(from, Result::connection_lost); // unknown whether it ran
+                        if (!read_reply(from)) wait_readable(from);
+                      }));
+}
+
+// Reads what has arrived. Returns whether that ended the call.
+bool HttpClient::read_reply(Connection& c) {
+  std::array<char, input_bytes> input;
+  HttpReply::State state = HttpReply::State::reading;
+  for (int reads = 0; state == HttpReply::State::reading; ++reads) {
+    if (reads == reads_per_event) return false;
+    asio::error_code error;
+    const std::size_t n = c.socket.read_some(asio::buffer(input), error);
+    if (error == asio::error::would_block) return false;
+    if (error) {
+      finish(c, Result::connection_lost); // unknown whether the call ran
+      return true;
+    }
+    state = c.reply.feed({input.data(), n});
+  }
+  finish(c, state == HttpReply::State::complete ? Result::complete : Result::malformed);
+  return true;
+}
+
+// The call's time is over. Its reply may be waiting if it was this process that paused or was busy.
+void HttpClient::expire(Connection& c) {
+  if (!c.connected || !read_reply(c)) finish(c, Result::timed_out);
 }
 
 // The only place where a call ends and its connection is released. The connection is reset: further data is
--- a/node/http_client.hpp
+++ b/node/http_client.hpp
@@ -11,7 +11,6 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,12 +52,14 @@
     Callback callback;
     SendCheck may_send;
     std::string head, body;
-    std::array<char, 4096> input;
+    bool connected = false;
     HttpReply reply;
   };
 
   void write(Connection& c);
-  void read(Connection& c);
+  void wait_readable(Connection& c);
+  bool read_reply(Connection& c);
+  void expire(Connection& c);
   void finish(Connection& c, Result result);
   template <class Step>
   auto if_current(const Connection& c, Step step);
