Test: clients that write slowly, stop within a large request, or send at full speed

Need: operators of other deployments report that such clients made a process exceed its memory limit, or others' answers late. Whether it is so here was not known for all of them.

The process fixture of `many` has a header of its own for that.

--- a/load/site.cpp
+++ b/load/site.cpp
@@ -39,9 +39,9 @@
                      "\",\"announce\":\"" + announce + "\",\"records\":\"" + records + "\",\"seed\":\"";
   char more[160];
   std::snprintf(more, sizeof more,
-                "%016llx\",\"stop_ms\":%lld,\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":%d},",
+                "%016llx\",\"stop_ms\":%lld,\"limits\":{\"cores\":1.0,\"memory_mb\":%d,\"sockets\":%d},",
                 static_cast<unsigned long long>(site.seed), static_cast<long long>(site.leave_time / ms),
-                site.sockets);
+                site.memory_mb, site.sockets);
   text += more;
   text +=
       "\"settings\":{\"fleet_size\":1,\"value_by\":\"request\",\"over_share_worth\":0.05,\"family_info\":{"
--- a/load/site.hpp
+++ b/load/site.hpp
@@ -17,6 +17,7 @@
   std::uint32_t callers = 4;
   double cores = 4; // of the interpreter
   int sockets = 512;
+  int memory_mb = 64;
   bool cold = false;
   double calls_out = 8; // this server's share of the calls in hand below
 };
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -16,6 +16,7 @@
 #include <initializer_list>
 #include <memory>
 #include <netinet/tcp.h>
+#include <optional>
 #include <set>
 #include <string>
 #include <sys/resource.h>
@@ -279,6 +280,17 @@
     while (recv(fd_, taken, sizeof taken, 0) > 0) {
     }
   }
+  // Sends what the socket takes now, and appends what it has received. Nothing: the connection has ended.
+  std::optional<std::size_t> exchange(std::string_view bytes, std::string& received) {
+    char piece[16 * 1024];
+    ssize_t n = 0;
+    while ((n = recv(fd_, piece, sizeof piece, 0)) > 0) received.append(piece, static_cast<std::size_t>(n));
+    if (n == 0 || errno != EAGAIN) ended_ = true;
+    if (ended_) return std::nullopt;
+    const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN) ended_ = true;
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+  }
   TestConnection next() { // the next connection to this listener
     int fd = -1;
     until("a connection", [&] { return (fd = accept(fd_, nullptr, nullptr)) >= 0; });
