Reads that are shared take half of the table of keys at most

What callers would see: where reads are shared (fresh_for_ns), reads of ever new items filled the table of keys; bookings were refused as too-many-keys, and the table grew beyond its bound.

Cause: Core::keep_key made an entry for each shared read.

Evidence: the new part of `full_tables`: after reads of twice as many items as the table holds a booking was nacked, too-many-keys. Without sharing the table stays in its bound (`hostile_clients`).

Change: a read gets an entry while less than half of the table is used.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t results_memory_divisor = 8; // an eighth of the memory for results kept for retries
 constexpr std::size_t max_ops_per_mb = 48;        // at 2 KB an op plus bookkeeping: a sixth of the memory
 constexpr std::size_t max_keys_per_mb = 128;      // entries without their results: a twentieth of the memory
+constexpr std::size_t shared_reads_divisor = 2;   // this part of the keys; the rest is for keyed ops
 
 // The protocol's time limits are 50 ms longer and its times are rounded to ms.
 constexpr Nanos key_window_slack = 100 * ms;
@@ -461,6 +462,10 @@
 void Core::keep_key(OpId id, Nanos lifetime) {
   const auto op = ops_.find(id);
   if (op == ops_.end() || !op->second.key) return;
+  // Bounds memory: a read without an entry is not shared.
+  if (retry_classes_[op->second.type.raw] == RetryClass::retryable &&
+      keys_.size() >= max_keys_ / shared_reads_divisor && !keys_.contains(*op->second.key))
+    return;
   const auto [at, inserted] = keys_.try_emplace(*op->second.key);
   KeyEntry& entry = at->second;
   if (!inserted) key_expiries_.erase(entry.end);
--- a/tests/full_tables.cpp
+++ b/tests/full_tables.cpp
@@ -1,5 +1,6 @@
 // Guards against a nack of an op that has run: the bounds on keys, on open ops and on ids in use were checked
-// before it was known whether an earlier try of the op had run, and another server could run it again.
+// before it was known whether an earlier try of the op had run, and another server could run it again. And
+// against reads of ever new items that fill the table of keys.
 #include "recorded_core.hpp"
 
 namespace {
@@ -115,9 +116,29 @@
   server.book_under(1, "mark");
 }
 
+void test_reads() {
+  SmallCore server;
+  server.given["fresh_for_ns"] = 2e9;
+  server.core = std::make_unique<Core>(server.now, server.given, server.recorder);
+  server.recorder.bind(*server.core);
+  server.link();
+  say("reads of ever new items are kept to be shared: there is room for a booking all the same");
+  for (std::uint64_t id = 1; id <= 2 * max_keys; ++id) {
+    server.recorder.op_received(server.now, {ConnectionId{1}, StreamId{static_cast<std::uint32_t>(id)}},
+                                OpId{id}, OpTypeId{look}, TenantId{0}, CallerId{1}, server.now, 2 * second, 1,
+                                0.5, "", "item " + std::to_string(id), Content("body"), {});
+    server.pass(5 * ms);
+  }
+  server.pass(100 * ms);
+  server.prints = true;
+  server.book_under(1001, "mark");
+  server.pass(100 * ms);
+}
+
 } // namespace
 
 int main() {
+  test_reads();
   test_full_keys();
   test_full_keys_while_running();
   test_full_ops();
