Requests that were unread as their connection was reset are not started

What callers would see: a client left, its connection reset with requests unread, and the requests were started afterwards, though no answer could be delivered.

Cause: a reset connection still gives what had arrived before the reset; only the read after that fails. Front::on_readable parsed what it read first.

Evidence: test `departed_clients`, first part: three requests and a reset before the server's turn; on the text before, the next command on the link is the start of the first of them. Its other parts hold before, too: a connection that is closed for sending alone is served, a queued op is forgotten, a keyed op whose id comes again is not run again.

Change: the connection's error is asked for before its input is read.

--- a/node/front.cpp
+++ b/node/front.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <span>
+#include <sys/socket.h>
 
 namespace cometshift {
 
@@ -217,8 +218,17 @@
   });
 }
 
+// Whether the peer has reset the connection. What it had written before can still be read then, but its
+// answers can't be delivered.
+bool Front::was_reset(Connection& c) {
+  int error = 0;
+  socklen_t size = sizeof error;
+  return getsockopt(c.socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
+}
+
 void Front::on_readable(Connection& c) {
   if (c.input_ignored) return;
+  if (was_reset(c)) return remove(c, nullptr);
   if (!c.input) c.input = std::make_unique<char[]>(input_buffer_bytes);
   for (int turn = 0; turn < reads_per_turn; ++turn) {
     asio::error_code error;
--- a/node/front.hpp
+++ b/node/front.hpp
@@ -137,6 +137,7 @@
   bool evict_one();
   bool is_idle(const Connection& c) const;
   void wait_readable(Connection& c);
+  static bool was_reset(Connection& c);
   void on_readable(Connection& c);
   void parse_frames(Connection& c, Nanos read_at);
   bool handle_frame(Connection& c, Nanos read_at, std::uint8_t type, StreamId stream,
