A non-retryable op that has run is not run again when its id comes again

What callers would see: a client left while its op ran and sent the same id again on a new connection; once the run had ended the op was started a second time, though it may not be repeated.

Cause: the core knew ids of open ops and of kept keys. A non-retryable op has no key and is forgotten as it ends.

Change: ids of non-retryable ops that have run are remembered for the longest op timeout, as many as keys at most, and failed if they come again.

--- a/capture/format.hpp
+++ b/capture/format.hpp
@@ -29,7 +29,8 @@
 
 constexpr std::string_view segment_magic = "CMTSHFT\x01";
 constexpr std::uint32_t capture_format = 1;
-constexpr std::uint32_t snapshot_layout = 2;
+constexpr std::uint32_t snapshot_layout = 3;
+constexpr std::uint32_t oldest_snapshot_layout = 2; // that this build reads
 constexpr std::size_t block_header_bytes = 12;
 constexpr std::size_t max_block_bytes = 64 * 1024 * 1024; // a snapshot with all tables full takes several MB
 extern const char* const build_name;
--- a/capture/replay.cpp
+++ b/capture/replay.cpp
@@ -176,9 +176,10 @@
 std::string Replayer::where() const { return reader_->path() + ": byte " + std::to_string(reader_->at()); }
 
 void Replayer::restore(const wire::Entry& entry) {
-  if (reader_->head().layout() != snapshot_layout)
-    throw Unreadable(where() + ": a snapshot of layout " + std::to_string(reader_->head().layout()) +
-                     ", this build reads " + std::to_string(snapshot_layout));
+  const std::uint32_t layout = reader_->head().layout();
+  if (layout < oldest_snapshot_layout || layout > snapshot_layout)
+    throw Unreadable(where() + ": a snapshot of layout " + std::to_string(layout) + ", this build reads " +
+                     std::to_string(oldest_snapshot_layout) + " to " + std::to_string(snapshot_layout));
   settings_ = decode_settings(reader_->head());
   op_types_ = configured_names(settings_, "op_type.");
   tenants_ = configured_names(settings_, "tenant.");
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -64,6 +64,7 @@
 bool Core::anything_due(Nanos now) const {
   return (!wakes_.empty() && wakes_.top().first <= now) ||
          (!key_expiries_.empty() && key_expiries_.begin()->first <= now) ||
+         (!ended_id_expiries_.empty() && ended_id_expiries_.begin()->first <= now) ||
          (link_up_ && now - orphans_checked_at_ >= orphan_query_delay_);
 }
 
@@ -149,12 +150,12 @@
 }
 
 // An id in use can't be taken by another op. That includes ids of ended ops: kept results refer to them by
-// id, so another op with the same id would be taken for that one. A nack would state that the id was never
-// run, so an op that was started is failed.
+// id, so another op with the same id would be taken for that one; and a non-retryable op must not run again.
+// A nack would state that the id was never run, so an op that was started is failed.
 void Core::reject_duplicate_id(StreamRef stream_ref, OpId id) {
   actions_.note("request", "refused: its txn is already in use");
   const auto at = ops_.find(id);
-  if (at != ops_.end() && at->second.run != Op::Run::none)
+  if (ended_ids_.contains(id) || (at != ops_.end() && at->second.run != Op::Run::none))
     actions_.failed(stream_ref, id, Reason::known);
   else
     actions_.refused(stream_ref, id, Reason::known, 0, false);
@@ -194,7 +195,8 @@
     if (at->second.state == KeyEntry::State::failed)
       return actions_.failed(stream_ref, id, Reason::first_failed);
   }
-  if (ops_.contains(id) || holders_.contains(id)) return reject_duplicate_id(stream_ref, id);
+  if (ops_.contains(id) || holders_.contains(id) || ended_ids_.contains(id))
+    return reject_duplicate_id(stream_ref, id);
   if (keyed && conflicts_with_confirmed(*key)) {
     actions_.note("request", "refused: its mark belongs to another op");
     actions_.refused(stream_ref, id, Reason::other_mark, 0, true);
@@ -355,6 +357,7 @@
     else
       finish_entry(*entry, done ? KeyEntry::State::done : KeyEntry::State::failed, done ? result : Content());
   }
+  if (retry_classes_[op.type.raw] == RetryClass::non_retryable && !original_not_started) remember_ended(id);
   if (!op.answered && outcome != Outcome::halted) {
     if (outcome == Outcome::done)
       actions_.served(op.stream_ref, id, std::move(result));
@@ -505,6 +508,18 @@
   keys_.erase(at);
 }
 
+// Bounds memory: the oldest id is forgotten first.
+void Core::remember_ended(OpId id) {
+  if (!ended_ids_.insert(id).second) return;
+  ended_id_expiries_.emplace(now_ + max_op_timeout_, id);
+  if (ended_ids_.size() > max_keys_) forget_oldest_ended();
+}
+
+void Core::forget_oldest_ended() {
+  ended_ids_.erase(ended_id_expiries_.begin()->second);
+  ended_id_expiries_.erase(ended_id_expiries_.begin());
+}
+
 void Core::finish_entry(KeyEntry& entry, KeyEntry::State state, Content result) {
   result_bytes_ -= entry.result.size;
   // Bounds memory: a result that does not fit is answered as failed, and the op is not run again.
@@ -570,6 +585,7 @@
     key_expiries_.erase(entry.end); // the run outlasts the entry's lifetime: check again later
     entry.end = key_expiries_.emplace(now_ + max_op_timeout_, key);
   }
+  while (!ended_id_expiries_.empty() && ended_id_expiries_.begin()->first <= now_) forget_oldest_ended();
 }
 
 // ---- other actions of the decision module
@@ -611,6 +627,19 @@
     throw std::invalid_argument("snapshot: invalid key entry");
 }
 
+// The end of a snapshot, left out if there is nothing in it, as in snapshots of layout 2.
+template <class Serializer>
+void Core::serialize_ended_ids(Serializer& serializer) {
+  if constexpr (Serializer::reads) {
+    ended_id_expiries_.clear(), ended_ids_.clear();
+    if (serializer.at_end()) return;
+    serializer(ended_id_expiries_);
+    for (const auto& [end, id] : ended_id_expiries_) ended_ids_.insert(id);
+  } else if (!ended_id_expiries_.empty()) {
+    serializer(ended_id_expiries_);
+  }
+}
+
 template <class Serializer>
 void Core::serialize(Serializer& serializer) {
   std::size_t ops = ops_.size(), keys = key_expiries_.size();
@@ -661,6 +690,7 @@
   if (pools_) serializer(*pools_);
   if (Serializer::reads && gauges_.size() != gauge_count)
     throw std::invalid_argument("snapshot: number of gauges differs from the settings");
+  serialize_ended_ids(serializer);
 }
 
 template void Core::serialize(Writer& serializer);
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -143,6 +143,8 @@
   OpId find_earlier_try(const Key& key, bool keyed, Nanos received_at) const;
   void finish_entry(KeyEntry& entry, KeyEntry::State state, Content result);
   void drop_unstarted(KeyEntry& entry);
+  void remember_ended(OpId id);
+  void forget_oldest_ended();
   void erase(const Key& key);
   void expire_entries();
   void query_orphans();
@@ -151,6 +153,8 @@
   void serialize_op(Serializer& serializer, Op& op);
   template <class Serializer>
   void serialize_entry(Serializer& serializer, KeyEntry& entry);
+  template <class Serializer>
+  void serialize_ended_ids(Serializer& serializer);
 
   Actions& actions_;
   Settings settings_;
@@ -169,6 +173,10 @@
   std::map<Key, KeyEntry> keys_;
   std::multimap<Nanos, Key> key_expiries_; // one for each entry of keys_
   std::set<OpId> holders_;                 // of the entries of keys_
+  // Ids of non-retryable ops that have run, each until no caller can wait for it any more, in order of
+  // expiry.
+  std::set<std::pair<Nanos, OpId>> ended_id_expiries_;
+  std::set<OpId> ended_ids_; // of ended_id_expiries_
   std::size_t result_bytes_ = 0;
   std::vector<OpId> repeats_to_answer_; // answered by `answer_repeats`, after the module has returned
   using Wake = std::pair<Nanos, WakeId>;
--- a/tests/departed_clients.cpp
+++ b/tests/departed_clients.cpp
@@ -38,7 +38,7 @@
   std::printf("  balancer: %s\n", server.balancer.frame().c_str());
 }
 
-// An op type with an effect, whose op has run when its id comes again.
+// `verb`: an op type with an effect, whose op has run when its id comes again.
 void test_id_again(const char* what, const char* verb, bool other_effects) {
   say(what);
   ServerFixture server("3000", "9000000000", other_effects);
@@ -85,6 +85,7 @@
   test_unread_requests();
   test_half_closed();
   test_id_again("a client is reset while its keyed op runs, and the id comes again", "book", false);
+  test_id_again("the same with an op that may not be repeated at all", "book", true);
   test_queued();
   std::remove(fixture_config_path.c_str());
 }
