--- a/capture/recording_policy.cpp
+++ b/capture/recording_policy.cpp
@@ -11,13 +11,13 @@
 constexpr Nanos max_retry_delay = 30 * second;    // one snapshot per attempt is a negligible load
 } // namespace
 
-// A snapshot takes as long as the state is large, so a segment does not end before its entries take as much
-// room as its snapshot: snapshots never make up more than half of what is recorded, however small the limits
-// of a segment are.
+// A snapshot takes as long as the state is large. So a segment does not end by its size before its entries
+// take as much room as its snapshot: between two snapshots there is as much to record, or an age, or a gap's
+// delay.
 bool RecordingPolicy::segment_ended(Nanos now) const {
-  const bool at_limit = snapshot_bytes_ + entry_bytes_ >= limits_.segment_bytes ||
-                        now - segment_opened_at_ >= limits_.segment_age;
-  return at_limit && entry_bytes_ >= snapshot_bytes_;
+  const bool full =
+      snapshot_bytes_ + entry_bytes_ >= limits_.segment_bytes && entry_bytes_ >= snapshot_bytes_;
+  return full || now - segment_opened_at_ >= limits_.segment_age;
 }
 
 // Keeps the cost of recording from rising when the disk is slow or failing: during a gap no events are
--- a/capture/recording_policy.hpp
+++ b/capture/recording_policy.hpp
@@ -15,7 +15,8 @@
 // Used on the event loop: decides what is recorded, counts lost entries and starts new segments.
 class RecordingPolicy {
  public:
-  // A segment ends at this size or age, but not before its entries take as many bytes as its snapshot.
+  // A segment ends at this age; or at this size, but not before its entries take as many bytes as its
+  // snapshot.
   struct Limits {
     std::uint64_t segment_bytes;
     Nanos segment_age;
