--- a/src/digest.cpp
+++ b/src/digest.cpp
@@ -19,14 +19,24 @@
   return hash;
 }
 
-Pseudonymizer::Pseudonymizer() { randombytes_buf(key_.data(), key_.size()); }
+struct Pseudonymizer::KeyedState {
+  crypto_auth_hmacsha256_state state;
+};
+
+Pseudonymizer::Pseudonymizer() : keyed_(std::make_unique<KeyedState>()) {
+  std::array<unsigned char, crypto_auth_hmacsha256_KEYBYTES> key;
+  randombytes_buf(key.data(), key.size());
+  crypto_auth_hmacsha256_init(&keyed_->state, key.data(), key.size());
+  sodium_memzero(key.data(), key.size());
+}
+Pseudonymizer::~Pseudonymizer() { sodium_memzero(keyed_.get(), sizeof *keyed_); }
 
 std::string Pseudonymizer::operator()(std::string_view name) const {
-  static_assert(crypto_auth_hmacsha256_KEYBYTES == 32);
   constexpr std::size_t digest_bytes = 16;
+  crypto_auth_hmacsha256_state state = keyed_->state;
+  crypto_auth_hmacsha256_update(&state, reinterpret_cast<const unsigned char*>(name.data()), name.size());
   std::array<unsigned char, crypto_auth_hmacsha256_BYTES> out;
-  crypto_auth_hmacsha256(out.data(), reinterpret_cast<const unsigned char*>(name.data()), name.size(),
-                         key_.data());
+  crypto_auth_hmacsha256_final(&state, out.data());
   std::array<char, 2 * digest_bytes + 1> hex;
   sodium_bin2hex(hex.data(), hex.size(), out.data(), digest_bytes);
   return std::string(hex.data(), 2 * digest_bytes);
--- a/src/digest.hpp
+++ b/src/digest.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,10 +23,12 @@
 // Irreversible pseudonyms, the same for the same name: HMAC-SHA-256 (libsodium), truncated to 128 bits, in
 // hex.
 class Pseudonymizer {
-  std::array<unsigned char, 32> key_{};
+  struct KeyedState; // of the hash after the key, which is the same for every name
+  std::unique_ptr<KeyedState> keyed_;
 
  public:
   Pseudonymizer(); // with a random key that is discarded with the object
+  ~Pseudonymizer();
   std::string operator()(std::string_view name) const;
 };
 
